Add design, wire protocol and base packages

Cause: a new repository needs a design that all parts can follow, and the transport between processes on which the other parts build.

--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,139 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/wirepb"
+)
+
+// Handler answers one call. The returned error is sent to the peer as a
+// Failure, so a handler that has already answered returns nil.
+type Handler func(ctx context.Context, s *Stream, req *wirepb.Envelope) error
+
+// Server accepts sessions.
+type Server struct {
+	listener net.Listener
+	opts     Options
+	handler  Handler
+	log      *zap.Logger
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// Serve listens on address and answers calls until Close.
+func Serve(address string, opts Options, handler Handler, log *zap.Logger) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen on %s", address)
+	}
+	if opts.TLS != nil {
+		listener = tls.NewListener(listener, opts.TLS)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{listener: listener, opts: opts, handler: handler, log: log, ctx: ctx, cancel: cancel}
+	s.wg.Go(s.accept)
+	return s, nil
+}
+
+// Address returns the listening address.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends all sessions and waits for the handlers.
+func (s *Server) Close() error {
+	s.cancel()
+	err := s.listener.Close()
+	s.wg.Wait()
+	return errors.Trace(err)
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.log.Warn("accept failed", zap.Error(err))
+			// A short pause keeps a persistent failure, such as a lack of file
+			// descriptors, from using a whole core.
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		s.wg.Go(func() { s.serveConn(conn) })
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	session, err := yamux.Server(conn, yamuxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	stop := context.AfterFunc(s.ctx, func() { _ = session.Close() })
+	defer stop()
+	defer session.Close()
+	peer, err := s.handshake(session, conn.RemoteAddr().String())
+	if err != nil {
+		s.log.Warn("handshake failed", zap.String("peer", conn.RemoteAddr().String()), zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			cancel()
+			return
+		}
+		calls.Go(func() { s.serveCall(ctx, stream, peer) })
+	}
+}
+
+func (s *Server) handshake(session *yamux.Session, address string) (Peer, error) {
+	timer := time.AfterFunc(handshakeTimeout, func() { _ = session.Close() })
+	conn, err := session.AcceptStream()
+	if err != nil {
+		return Peer{}, errors.Annotatef(err, "accept handshake stream")
+	}
+	st := newStream(s.ctx, conn, Peer{Identity: Identity{ID: address}})
+	defer st.Close()
+	env, err := st.Recv()
+	if err != nil {
+		return Peer{}, errors.Trace(err)
+	}
+	// A handshake that outlives the timer has lost its session.
+	if !timer.Stop() {
+		return Peer{}, errors.Errorf("handshake with %s timed out", address)
+	}
+	peer, err := s.opts.negotiate(env, address)
+	if err != nil {
+		_ = st.Send(FailureEnvelope("handshake", "version", err))
+		return Peer{}, errors.Trace(err)
+	}
+	return peer, st.Send(s.opts.hello())
+}
+
+func (s *Server) serveCall(ctx context.Context, conn net.Conn, peer Peer) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	st := newStream(ctx, conn, peer)
+	defer st.Close()
+	req, err := st.Recv()
+	if err != nil {
+		return
+	}
+	if err := s.handler(ctx, st, req); err != nil {
+		_ = st.Send(FailureEnvelope("serve call", "error", err))
+	}
+}
