Add the manifest: strict parsing, hash and lookups

Accounts, services and grants come from a generated document, so a mistake in it must be refused as a whole. Parse checks it against an embedded JSON schema, then duplicate keys and names, references, path overlaps and ranges, and reports all faults with their paths.

Decisions: a declared list of idempotent calls, even an empty one, replaces the default of model services; a path with a second reading (dot segments, empty segments, percent signs) belongs to no service and is never idempotent; path prefixes of plain services must not nest.

--- /dev/null
+++ b/internal/manifest/index.go
@@ -0,0 +1,176 @@
+package manifest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// index holds the lookups of a manifest. It is built once and never changes.
+type index struct {
+	accountByKey map[string]*Account
+	account      map[string]*Account
+	service      map[string]*Service
+	byModel      map[string]*Service
+	byPrefix     map[string]*Service
+	urgency      map[string]*Urgency
+	domain       map[string]*FailureDomain
+	grant        map[grantKey]*Grant
+}
+
+type grantKey struct{ account, service string }
+
+func newIndex(m *Manifest) index {
+	x := index{
+		accountByKey: map[string]*Account{}, account: map[string]*Account{},
+		service: map[string]*Service{}, byModel: map[string]*Service{}, byPrefix: map[string]*Service{},
+		urgency: map[string]*Urgency{}, domain: map[string]*FailureDomain{}, grant: map[grantKey]*Grant{},
+	}
+	for i := range m.Services {
+		s := &m.Services[i]
+		x.service[s.Name] = s
+		if s.PathPrefix != "" {
+			x.byPrefix[s.PathPrefix] = s
+		}
+		for _, model := range s.Models {
+			x.byModel[model] = s
+		}
+	}
+	for i := range m.Accounts {
+		a := &m.Accounts[i]
+		x.account[a.Name] = a
+		for _, key := range a.KeySHA256 {
+			x.accountByKey[key] = a
+		}
+		for j := range a.Grants {
+			x.grant[grantKey{a.Name, a.Grants[j].Service}] = &a.Grants[j]
+		}
+	}
+	for i := range m.Urgencies {
+		x.urgency[m.Urgencies[i].Name] = &m.Urgencies[i]
+	}
+	for i := range m.FailureDomains {
+		x.domain[m.FailureDomains[i].Name] = &m.FailureDomains[i]
+	}
+	return x
+}
+
+// AccountByKey returns the account that owns the bearer key. The comparison is
+// over SHA-256 digests, so its timing reveals nothing about stored keys.
+func (m *Manifest) AccountByKey(bearer string) (*Account, bool) {
+	sum := sha256.Sum256([]byte(bearer))
+	a, ok := m.index.accountByKey[hex.EncodeToString(sum[:])]
+	return a, ok
+}
+
+// Account returns the account of that name.
+func (m *Manifest) Account(name string) (*Account, bool) {
+	a, ok := m.index.account[name]
+	return a, ok
+}
+
+// Service returns the service of that name.
+func (m *Manifest) Service(name string) (*Service, bool) {
+	s, ok := m.index.service[name]
+	return s, ok
+}
+
+// ServiceByModel returns the service that serves the model.
+func (m *Manifest) ServiceByModel(model string) (*Service, bool) {
+	s, ok := m.index.byModel[model]
+	return s, ok
+}
+
+// ServiceByPath returns the plain service with the longest prefix of path, by
+// whole segments. A path that a backend server could read as another one, such
+// as one with "..", belongs to no service.
+func (m *Manifest) ServiceByPath(path string) (*Service, bool) {
+	if !isCleanPath(path) {
+		return nil, false
+	}
+	for prefix := strings.TrimSuffix(path, "/"); prefix != ""; {
+		if s, ok := m.index.byPrefix[prefix]; ok {
+			return s, true
+		}
+		prefix = prefix[:strings.LastIndexByte(prefix, '/')]
+	}
+	return nil, false
+}
+
+// Grant returns what the account may do with the service.
+func (m *Manifest) Grant(account, service string) (*Grant, bool) {
+	g, ok := m.index.grant[grantKey{account, service}]
+	return g, ok
+}
+
+// Urgency returns the urgency of that name.
+func (m *Manifest) Urgency(name string) (*Urgency, bool) {
+	u, ok := m.index.urgency[name]
+	return u, ok
+}
+
+// FailureDomain returns the failure domain of that name.
+func (m *Manifest) FailureDomain(name string) (*FailureDomain, bool) {
+	d, ok := m.index.domain[name]
+	return d, ok
+}
+
+// IsolatedServing returns how long a dispatcher serves its own failure domain
+// without a confirmed configuration.
+func (m *Manifest) IsolatedServing() time.Duration {
+	return time.Duration(*m.IsolatedServingSeconds) * time.Second
+}
+
+// IsIdempotent reports whether a call may run more than once.
+//
+// GET, HEAD and OPTIONS are idempotent, as are declared calls. Without a
+// declared list the completions of a model service are idempotent, because an
+// engine keeps nothing of a request; a list, even an empty one, replaces this
+// default. PUT and DELETE need a declaration: services exist whose PUT acts on
+// the world again. A path that a backend server could read as another one is
+// never idempotent.
+func (s *Service) IsIdempotent(method, path string) bool {
+	if !isCleanPath(path) {
+		return false
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	if s.Kind == KindModel && s.IdempotentCalls == nil {
+		return method == http.MethodPost && (path == "/v1/chat/completions" || path == "/v1/completions")
+	}
+	for _, c := range s.IdempotentCalls {
+		if c.Method == method && c.matches(path) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c Call) matches(path string) bool {
+	if prefix, ok := strings.CutSuffix(c.Path, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return path == c.Path
+}
+
+// isCleanPath reports whether path, already percent-decoded, is absolute and
+// has only one reading.
+func isCleanPath(path string) bool {
+	if !strings.HasPrefix(path, "/") || strings.ContainsAny(path, "\\%\x00") {
+		return false
+	}
+	rest := strings.TrimSuffix(path[1:], "/")
+	if rest == "" {
+		return path == "/"
+	}
+	for segment := range strings.SplitSeq(rest, "/") {
+		if segment == "" || segment == "." || segment == ".." {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/manifest/manifest_test.go
@@ -0,0 +1,173 @@
+package manifest
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+func base(t testing.TB) []byte {
+	data, err := os.ReadFile("testdata/base.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// edit sets the values that lines name, "POINTER JSON" each.
+func edit(t *testing.T, data []byte, lines string) []byte {
+	var doc any
+	if err := json.Unmarshal(data, &doc); err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(lines) {
+		path, text, _ := strings.Cut(strings.TrimSpace(line), " ")
+		var value any
+		if err := json.Unmarshal([]byte(text), &value); err != nil {
+			t.Fatalf("%s: %v", line, err)
+		}
+		tokens := strings.Split(path, "/")[1:]
+		at := doc
+		for i, token := range tokens {
+			token = strings.NewReplacer("~1", "/", "~0", "~").Replace(token)
+			last := i == len(tokens)-1
+			switch parent := at.(type) {
+			case map[string]any:
+				if last {
+					parent[token] = value
+				}
+				at = parent[token]
+			case []any:
+				n, err := strconv.Atoi(token)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if last {
+					parent[n] = value
+				}
+				at = parent[n]
+			}
+		}
+	}
+	out, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// Guards against a mistake in a manifest that is accepted, reported without
+// its place, or hidden by another one.
+func TestParseFaults(t *testing.T) {
+	datadriven.RunTest(t, "testdata/faults", func(t *testing.T, d *datadriven.TestData) string {
+		data := []byte(d.Input)
+		if d.Cmd == "parse" {
+			data = edit(t, base(t), d.Input)
+		}
+		m, err := Parse(data)
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		return fmt.Sprintf("ok number %d\n", m.Number)
+	})
+}
+
+// Guards against an account, service or grant being looked up as another one.
+func TestLookups(t *testing.T) {
+	m, err := Parse(base(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	datadriven.RunTest(t, "testdata/lookups", func(t *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			fmt.Fprintln(&out, lookup(m, d.Cmd, strings.Fields(line)))
+		}
+		return out.String()
+	})
+}
+
+func lookup(m *Manifest, cmd string, args []string) string {
+	name := func(s *Service, ok bool) string {
+		if !ok {
+			return "none"
+		}
+		return s.Name
+	}
+	switch cmd {
+	case "key":
+		if a, ok := m.AccountByKey(args[0]); ok {
+			return a.Name
+		}
+	case "model":
+		return name(m.ServiceByModel(args[0]))
+	case "path":
+		return name(m.ServiceByPath(args[0]))
+	case "grant":
+		if g, ok := m.Grant(args[0], args[1]); ok {
+			return fmt.Sprintf("%v rate %g concurrent %d", g.Urgencies, g.RatePerSecond, g.Concurrent)
+		}
+	case "idempotent":
+		if s, ok := m.Service(args[0]); ok {
+			return strconv.FormatBool(s.IsIdempotent(args[1], args[2]))
+		}
+	case "defaults":
+		if s, ok := m.Service(args[0]); ok {
+			return fmt.Sprintf("cold %d deadline %d body %d output %d", s.ColdLimitRequests, s.DeadlineMs, s.MaxBodyBytes, s.MaxOutputTokens)
+		}
+	}
+	return "none"
+}
+
+// Guards against equal content being refused because of its layout, and
+// different content being taken for equal.
+func TestContentHash(t *testing.T) {
+	hash := func(text string) Hash {
+		h, err := ContentHash([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return h
+	}
+	a := hash(`{"number": 1, "services": [{"name":"a","kind":"model"}]}`)
+	if b := hash("{\"services\":[{\"kind\":\"model\",\n\"name\":\"a\"}],\"number\":1}"); a != b {
+		t.Errorf("layout changes the hash: %v and %v", a, b)
+	}
+	// 2^53 and 2^53+1 are equal as floating point numbers.
+	if hash(`{"n":9007199254740992}`) == hash(`{"n":9007199254740993}`) {
+		t.Error("different numbers have equal hashes")
+	}
+	if hash(`{"l":["a","b"]}`) == hash(`{"l":["b","a"]}`) {
+		t.Error("lists of different order have equal hashes")
+	}
+}
+
+// Guards against documents that stop the process, and against accepted
+// documents whose canonical form is read differently.
+func FuzzParse(f *testing.F) {
+	f.Add(base(f))
+	f.Add([]byte(`{"number":1e999999999,"services":[],"number":2}`))
+	f.Add([]byte(strings.Repeat("[", 20000)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Parse(data)
+		if err != nil {
+			return
+		}
+		canonical, err := canonicalJSON(data)
+		if err != nil {
+			t.Fatalf("accepted document has no canonical form: %v", err)
+		}
+		again, err := Parse(canonical)
+		if err != nil {
+			t.Fatalf("canonical form is refused: %v", err)
+		}
+		if again.Hash() != m.Hash() || again.Number != m.Number {
+			t.Fatalf("canonical form differs: %v and %v", again.Hash(), m.Hash())
+		}
+	})
+}
