--- /dev/null
+++ b/internal/statemachine/configuration.go
@@ -0,0 +1,116 @@
+package statemachine
+
+import (
+	"cmp"
+	"encoding/hex"
+	"fmt"
+	"slices"
+
+	"bilberryhub/internal/config"
+	"bilberryhub/internal/invariant"
+	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/wirepb"
+)
+
+type orderKey struct{ kind, target string }
+
+// Config returns the configuration in force.
+func (m *Machine) Config() *wirepb.ConfigSnapshot { return m.config }
+
+func (m *Machine) applyManifest(index uint64, a *wirepb.ApplyManifest) *wirepb.Result {
+	hash, err := manifest.ContentHash(a.GetContent())
+	if err != nil {
+		return &wirepb.Result{Code: CodeBadCommand, Message: err.Error(), Index: m.configIndex}
+	}
+	r := &wirepb.Result{Index: m.configIndex, NumberInForce: m.manifestNumber}
+	switch {
+	case a.GetNumber() < m.manifestNumber:
+		r.Code = CodeManifestOutdated
+		r.Message = fmt.Sprintf("manifest %d is lower than %s", a.GetNumber(), m.describeManifest())
+	case a.GetNumber() > m.manifestNumber:
+		m.manifestNumber, m.manifest, m.manifestSHA256 = a.GetNumber(), a.GetContent(), hash.SHA256
+		m.configChanged(index)
+		r.Index, r.NumberInForce = index, a.GetNumber()
+	case hash.SHA256 == m.manifestSHA256:
+		r.Already = true
+	default:
+		r.Code = CodeManifestConflict
+		r.Message = fmt.Sprintf("manifest %d has content %s, which differs from %s", a.GetNumber(), hash, m.describeManifest())
+	}
+	return r
+}
+
+func (m *Machine) describeManifest() string {
+	return fmt.Sprintf("manifest %d in force since index %d with content %s",
+		m.manifestNumber, m.configIndex, hex.EncodeToString(m.manifestSHA256[:6]))
+}
+
+func (m *Machine) applyOrder(index uint64, o *wirepb.Order) *wirepb.Result {
+	key := orderKey{o.GetKind(), o.GetTarget()}
+	old := m.orders[key]
+	r := &wirepb.Result{Index: m.configIndex, NumberInForce: old.GetNumber()}
+	switch {
+	case o.GetNumber() < old.GetNumber():
+		r.Code = CodeOrderOutdated
+		r.Message = fmt.Sprintf("order %d is lower than %s", o.GetNumber(), describeOrder(old))
+	case o.GetNumber() == old.GetNumber() && o.GetOut() == old.GetOut():
+		r.Already = true
+	case o.GetNumber() == old.GetNumber():
+		r.Code = CodeOrderConflict
+		r.Message = fmt.Sprintf("order %d says otherwise than %s", o.GetNumber(), describeOrder(old))
+	case old == nil && len(m.orders) >= m.limits.Orders:
+		r.Code = CodeOrdersFull
+		r.Message = fmt.Sprintf("%d targets have orders", len(m.orders))
+	default:
+		m.orders[key] = o
+		m.configChanged(index)
+		r.Index, r.NumberInForce = index, o.GetNumber()
+	}
+	return r
+}
+
+func describeOrder(o *wirepb.Order) string {
+	direction := "in"
+	if o.GetOut() {
+		direction = "out"
+	}
+	return fmt.Sprintf("order %d in force, which takes %s %s %s", o.GetNumber(), o.GetKind(), o.GetTarget(), direction)
+}
+
+func (m *Machine) configChanged(index uint64) {
+	old := m.config
+	m.configIndex = index
+	m.rebuildConfig()
+	checkSuccession(old, m.config)
+}
+
+// checkSuccession asserts that a configuration may follow another one.
+func checkSuccession(old, next *wirepb.ConfigSnapshot) {
+	invariant.Must(next.GetIndex() >= old.GetIndex(), "statemachine_config_index_grows",
+		"config index %d after %d", next.GetIndex(), old.GetIndex())
+	invariant.Must(next.GetManifestNumber() >= old.GetManifestNumber(), "statemachine_manifest_number_grows",
+		"manifest number %d after %d", next.GetManifestNumber(), old.GetManifestNumber())
+	if next.GetManifestNumber() == old.GetManifestNumber() {
+		invariant.Must(string(next.GetManifest()) == string(old.GetManifest()), "statemachine_one_content_per_number",
+			"manifest %d changed its content at index %d", next.GetManifestNumber(), next.GetIndex())
+	}
+}
+
+// rebuildConfig makes a new message, so that one handed out never changes.
+func (m *Machine) rebuildConfig() {
+	m.config = &wirepb.ConfigSnapshot{
+		Index: m.configIndex, ManifestNumber: m.manifestNumber, Manifest: m.manifest, Orders: m.sortedOrders(),
+	}
+	m.config.Digest = config.Digest(m.config)
+}
+
+func (m *Machine) sortedOrders() []*wirepb.Order {
+	out := make([]*wirepb.Order, 0, len(m.orders))
+	for _, o := range m.orders {
+		out = append(out, o)
+	}
+	slices.SortFunc(out, func(a, b *wirepb.Order) int {
+		return cmp.Or(cmp.Compare(a.GetKind(), b.GetKind()), cmp.Compare(a.GetTarget(), b.GetTarget()))
+	})
+	return out
+}
