--- a/internal/statemachine/configuration.go
+++ b/internal/statemachine/configuration.go
@@ -41,7 +41,7 @@
 }
 
 func (m *Machine) describeManifest() string {
-	return fmt.Sprintf("manifest %d in force since index %d with content %s",
+	return fmt.Sprintf("manifest %d in force at index %d with content %s",
 		m.manifestNumber, m.configIndex, hex.EncodeToString(m.manifestSHA256[:6]))
 }
 
