--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -221,6 +221,10 @@
 	HealthCrashed
 )
 
+func (h Health) String() string {
+	return [...]string{"unknown", "alive", "crashed"}[h]
+}
+
 type healthDocument struct {
 	Boot uint64 `json:"boot"`
 }
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/dispatch"
+	"bilberryhub/internal/peers"
+	"bilberryhub/internal/routing"
+	"bilberryhub/internal/wirepb"
+)
+
+const (
+	// tickInterval is how often the systems run over the control tables.
+	tickInterval = 20 * time.Millisecond
+	// frozenAfter is the gap between two ticks after which this process may
+	// have lost its roles without noticing.
+	frozenAfter = time.Second
+	// eventQueue bounds the events waiting for the control goroutine. Senders
+	// block when it is full, which slows admission down.
+	eventQueue = 1024
+)
+
+// errStopped means that the control goroutine has ended.
+var errStopped = errors.New("control loop has stopped")
+
+// control is the state that one goroutine owns: the tables of peers, of pools
+// dispatched here and of pool summaries, and the replies that are due.
+type control struct {
+	server  *Server
+	core    *dispatch.Core
+	peers   *peers.Table
+	router  *routing.Router
+	waiters map[string]chan<- *wirepb.Envelope
+	// lost remembers which peers were alive, to notice when one is gone.
+	alive    map[string]uint64
+	lastTick time.Time
+	frozen   uint64
+}
+
+// loop runs events on the control goroutine.
+type loop struct {
+	events chan func(*control)
+	done   chan struct{}
+}
+
+func newLoop() *loop {
+	return &loop{events: make(chan func(*control), eventQueue), done: make(chan struct{})}
+}
+
+// post runs f later. It returns false when the loop has stopped.
+func (l *loop) post(f func(*control)) bool {
+	select {
+	case l.events <- f:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// do runs f and waits for it.
+func (l *loop) do(ctx context.Context, f func(*control)) error {
+	finished := make(chan struct{})
+	if !l.post(func(c *control) { f(c); close(finished) }) {
+		return errStopped
+	}
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return errors.Annotate(ctx.Err(), "wait for control loop")
+	case <-l.done:
+		return errStopped
+	}
+}
+
+// run handles events and ticks until ctx ends.
+func (l *loop) run(ctx context.Context, c *control) {
+	defer close(l.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	c.lastTick = time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-l.events:
+			c.noticeFreeze()
+			f(c)
+		case <-ticker.C:
+			c.tick()
+		}
+		c.deliver()
+	}
+}
+
+// now returns the monotonic time since the start of the process, which the
+// cores use.
+func (c *control) now() time.Duration { return time.Since(c.server.started) }
+
+// noticeFreeze runs before any event, because an event that was waiting in a
+// socket during a freeze must not be taken for a recent one.
+func (c *control) noticeFreeze() {
+	gap := time.Since(c.lastTick)
+	if gap < frozenAfter {
+		return
+	}
+	c.frozen++
+	c.lastTick = time.Now()
+	c.server.log.Warn("process was paused; leases and permits from before are void", zap.Duration("gap", gap))
+	metricPauses.Inc()
+	c.core.SetConfigAge(c.server.sync.Age(time.Now()))
+	c.core.Tick(c.now())
+}
+
+func (c *control) tick() {
+	c.noticeFreeze()
+	c.lastTick = time.Now()
+	now := c.now()
+	c.core.SetConfigAge(c.server.sync.Age(time.Now()))
+	c.peers.Tick(now)
+	c.noticeLostPeers()
+	c.core.Tick(now)
+	c.server.requests.checkDeadlines(c.lastTick, deadlineGrace)
+}
+
+// noticeLostPeers tells the dispatcher core about entry processes that are
+// gone or have restarted.
+func (c *control) noticeLostPeers() {
+	for id, incarnation := range c.alive {
+		p, ok := c.peers.Get(id)
+		if ok && p.Incarnation == incarnation {
+			continue
+		}
+		delete(c.alive, id)
+		c.core.EntryLost(c.now(), id, incarnation)
+		c.server.log.Warn("entry process lost", zap.String("peer", id), zap.Uint64("incarnation", incarnation))
+	}
+	for _, p := range c.peers.Alive() {
+		c.alive[p.ID] = p.Incarnation
+	}
+}
+
+// deliver hands decisions of the core to those who wait for them.
+func (c *control) deliver() {
+	for _, action := range c.core.TakeActions() {
+		ch, ok := c.waiters[action.DispatchID]
+		if !ok {
+			continue
+		}
+		delete(c.waiters, action.DispatchID)
+		// The channel has room for the one decision.
+		ch <- action.Envelope
+	}
+}
+
+// reserve asks the core for a backend server; the decision goes to ch, which
+// must have room for it.
+func (c *control) reserve(r *wirepb.Reserve, ch chan<- *wirepb.Envelope) {
+	c.waiters[r.GetDispatchId()] = ch
+	c.core.Reserve(c.now(), r)
+}
+
+// cancel withdraws a request that is no longer waited for.
+func (c *control) cancel(m *wirepb.CancelReserve) {
+	delete(c.waiters, m.GetDispatchId())
+	c.core.Cancel(c.now(), m)
+}
