--- /dev/null
+++ b/internal/standin/settings.go
@@ -0,0 +1,183 @@
+package standin
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"bilberryhub/internal/announce"
+
+	"github.com/juju/errors"
+)
+
+// Settings configure one process.
+type Settings struct {
+	// TimeScale multiplies every time of the model: 0.1 is ten times faster
+	// than the simulated engine.
+	TimeScale float64 `json:"time_scale,omitempty"`
+	// Seed of report losses.
+	Seed     uint64 `json:"seed,omitempty"`
+	LogLevel string `json:"log_level,omitempty"`
+	// Entries are the addresses of entry processes to announce to.
+	Entries []string `json:"entries,omitempty"`
+	// Admin is where the process serves the administration of all instances,
+	// also of those that are down.
+	Admin string `json:"admin,omitempty"`
+	// Model is the default of every engine.
+	Model     *ModelSettings     `json:"model,omitempty"`
+	Instances []InstanceSettings `json:"instances"`
+}
+
+// InstanceSettings configure one simulated backend server.
+type InstanceSettings struct {
+	ID     string        `json:"id"`
+	Kind   announce.Kind `json:"kind"`
+	Listen string        `json:"listen"`
+	// Address is announced instead of the listen address if set.
+	Address       string   `json:"address,omitempty"`
+	FailureDomain string   `json:"failure_domain"`
+	Service       string   `json:"service"`
+	Models        []string `json:"models,omitempty"`
+	PathPrefix    string   `json:"path_prefix,omitempty"`
+	// FirstBoot is the first boot number; by default the Unix time in ms, so
+	// that it grows with each start of the process.
+	FirstBoot         uint64         `json:"first_boot,omitempty"`
+	ColdLimitRequests uint32         `json:"cold_limit_requests,omitempty"`
+	ChecksFencing     bool           `json:"checks_fencing,omitempty"`
+	Entries           []string       `json:"entries,omitempty"`
+	Model             *ModelSettings `json:"model,omitempty"`
+	Faults            Faults         `json:"faults,omitempty"`
+	// PlainMS is how long one call of a plain service takes, in ms.
+	PlainMS float64 `json:"plain_ms,omitempty"`
+}
+
+// ModelSettings are the constants of the engine model, in simulated time. Zero
+// fields take the defaults of DefaultModel.
+type ModelSettings struct {
+	PrefillTokensPerSecond  float64 `json:"prefill_tokens_per_second,omitempty"`
+	TransferTokensPerSecond float64 `json:"transfer_tokens_per_second,omitempty"`
+	ChunkTokens             int     `json:"chunk_tokens,omitempty"`
+	DecodeStepMS            float64 `json:"decode_step_ms,omitempty"`
+	DecodePerSequenceMS     float64 `json:"decode_per_sequence_ms,omitempty"`
+	MemoryTokens            int     `json:"memory_tokens,omitempty"`
+	MaxBatch                int     `json:"max_batch,omitempty"`
+	// ColdRequests and ColdSeconds bound the cold time after a boot; whichever
+	// is reached first ends it. Zero for both means that it boots warm.
+	ColdRequests      int     `json:"cold_requests,omitempty"`
+	ColdSeconds       float64 `json:"cold_seconds,omitempty"`
+	ColdPrefillFactor float64 `json:"cold_prefill_factor,omitempty"`
+	RestartSeconds    float64 `json:"restart_seconds,omitempty"`
+	// LoadSeconds is how long an ordered model load takes.
+	LoadSeconds float64 `json:"load_seconds,omitempty"`
+	// ExportSeconds is how long an export waits for its import, in real time.
+	ExportSeconds float64 `json:"export_seconds,omitempty"`
+	// ResumeSeconds is how long an interrupted stream is kept, in real time.
+	ResumeSeconds float64 `json:"resume_seconds,omitempty"`
+	// AllowPromptTokensHeader lets X-Prompt-Tokens state the prompt length.
+	AllowPromptTokensHeader bool `json:"allow_prompt_tokens_header,omitempty"`
+	// ReportDelayMS is the age of the newest load report that is announced.
+	ReportDelayMS float64 `json:"report_delay_ms,omitempty"`
+	// ReportDrop and EventDrop are the probabilities of losing a load report
+	// and a cache event.
+	ReportDrop float64 `json:"report_drop,omitempty"`
+	EventDrop  float64 `json:"event_drop,omitempty"`
+}
+
+// DefaultModel returns the constants described at the top of the package.
+func DefaultModel() ModelSettings {
+	return ModelSettings{
+		PrefillTokensPerSecond:  20_000,
+		TransferTokensPerSecond: 400_000,
+		ChunkTokens:             2048,
+		DecodeStepMS:            20,
+		DecodePerSequenceMS:     0.05,
+		MemoryTokens:            400_000,
+		MaxBatch:                64,
+		ColdPrefillFactor:       0.1,
+		RestartSeconds:          5,
+		ExportSeconds:           10,
+		ResumeSeconds:           5,
+	}
+}
+
+func (m *ModelSettings) decodeStep() time.Duration { return millis(m.DecodeStepMS) }
+
+func (m *ModelSettings) decodePerSequence() time.Duration { return millis(m.DecodePerSequenceMS) }
+
+func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "read settings")
+	}
+	return ParseSettings(b)
+}
+
+// ParseSettings decodes settings, fills in defaults and checks them.
+func ParseSettings(b []byte) (*Settings, error) {
+	// The defaults are decoded over, first with the settings of the process
+	// and then with those of the instance, so that each may name a few fields.
+	var layers struct {
+		Model     json.RawMessage `json:"model"`
+		Instances []struct {
+			Model json.RawMessage `json:"model"`
+		} `json:"instances"`
+	}
+	s := &Settings{TimeScale: 1, Seed: 1, LogLevel: "info"}
+	if err := json.Unmarshal(b, s); err != nil {
+		return nil, errors.Annotate(err, "decode settings")
+	}
+	if err := json.Unmarshal(b, &layers); err != nil {
+		return nil, errors.Annotate(err, "decode settings")
+	}
+	for i := range s.Instances {
+		in := &s.Instances[i]
+		m := DefaultModel()
+		for _, layer := range []json.RawMessage{layers.Model, layers.Instances[i].Model} {
+			if layer == nil {
+				continue
+			}
+			if err := json.Unmarshal(layer, &m); err != nil {
+				return nil, errors.Annotatef(err, "decode model of %s", in.ID)
+			}
+		}
+		in.Model = &m
+		if in.Entries == nil {
+			in.Entries = s.Entries
+		}
+		if err := in.check(); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	return s, errors.Trace(s.check())
+}
+
+func (s *Settings) check() error {
+	if s.TimeScale <= 0 {
+		return errors.New("settings: time_scale is not positive")
+	}
+	if len(s.Instances) == 0 {
+		return errors.New("settings: instances is empty")
+	}
+	return nil
+}
+
+func (in *InstanceSettings) check() error {
+	switch {
+	case in.ID == "" || in.Listen == "" || in.FailureDomain == "" || in.Service == "":
+		return errors.Errorf("instance %q: id, listen, failure_domain and service are required", in.ID)
+	case in.Kind == announce.KindModel && len(in.Models) == 0:
+		return errors.Errorf("instance %s: models is empty", in.ID)
+	case in.Kind == announce.KindPlain && in.PathPrefix == "":
+		return errors.Errorf("instance %s: path_prefix is empty", in.ID)
+	case in.Kind != announce.KindModel && in.Kind != announce.KindPlain:
+		return errors.Errorf("instance %s: kind %q is neither model nor plain", in.ID, in.Kind)
+	case in.Model.ChunkTokens <= 0 || in.Model.MaxBatch <= 0 || in.Model.PrefillTokensPerSecond <= 0:
+		return errors.Errorf("instance %s: chunk_tokens, max_batch and prefill_tokens_per_second must be positive", in.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/stats.go
@@ -0,0 +1,103 @@
+package standin
+
+import "sync/atomic"
+
+// peak keeps the largest value it was given.
+type peak struct{ atomic.Uint64 }
+
+func (p *peak) max(v uint64) {
+	for old := p.Load(); v > old; old = p.Load() {
+		if p.CompareAndSwap(old, v) {
+			return
+		}
+	}
+}
+
+// Stats counts the events of one instance over all its boots.
+type Stats struct {
+	Requests          atomic.Uint64
+	Completed         atomic.Uint64
+	Cancelled         atomic.Uint64
+	CancelsIgnored    atomic.Uint64
+	TooLarge          atomic.Uint64
+	Overloads         atomic.Uint64
+	Crashes           atomic.Uint64
+	MaxConcurrent     peak
+	MaxConcurrentCold peak
+	// AfterLeaving counts requests accepted while the instance announced that
+	// it is leaving.
+	AfterLeaving   atomic.Uint64
+	ExportsExpired atomic.Uint64
+	Announced      atomic.Uint64
+	AnnounceFailed atomic.Uint64
+	StaleOrders    atomic.Uint64
+	// WastedBefore holds the wasted tokens of earlier boots.
+	WastedBefore atomic.Uint64
+}
+
+// StatsDocument is the answer of GET /admin/stats.
+type StatsDocument struct {
+	ID                string `json:"id"`
+	Boot              uint64 `json:"boot"`
+	Up                bool   `json:"up"`
+	Cold              bool   `json:"cold"`
+	Requests          uint64 `json:"requests"`
+	Completed         uint64 `json:"completed"`
+	Cancelled         uint64 `json:"cancelled"`
+	CancelsIgnored    uint64 `json:"cancels_ignored"`
+	TooLarge          uint64 `json:"too_large"`
+	Overloads         uint64 `json:"overloads"`
+	Crashes           uint64 `json:"crashes"`
+	MaxConcurrent     uint64 `json:"max_concurrent"`
+	MaxConcurrentCold uint64 `json:"max_concurrent_cold"`
+	AfterLeaving      uint64 `json:"after_leaving"`
+	ExportsExpired    uint64 `json:"exports_expired"`
+	Announced         uint64 `json:"announced"`
+	AnnounceFailed    uint64 `json:"announce_failed"`
+	StaleOrders       uint64 `json:"stale_orders_applied"`
+	WastedTokens      uint64 `json:"wasted_tokens"`
+	// LeakedTokens is memory held by requests without a caller and by exports
+	// that nobody has imported.
+	LeakedTokens   uint64     `json:"leaked_tokens"`
+	ReservedTokens uint64     `json:"reserved_tokens"`
+	Running        int        `json:"running"`
+	Waiting        int        `json:"waiting"`
+	Exports        int        `json:"exports"`
+	Model          modelStats `json:"model"`
+}
+
+// document returns the counters; engine is nil while the instance is down or
+// when it is a plain service.
+func (s *Stats) document(id string, boot uint64, e *engine) *StatsDocument {
+	d := &StatsDocument{
+		ID: id, Boot: boot,
+		Requests: s.Requests.Load(), Completed: s.Completed.Load(), Cancelled: s.Cancelled.Load(),
+		CancelsIgnored: s.CancelsIgnored.Load(), TooLarge: s.TooLarge.Load(), Overloads: s.Overloads.Load(),
+		Crashes: s.Crashes.Load(), MaxConcurrent: s.MaxConcurrent.Load(),
+		MaxConcurrentCold: s.MaxConcurrentCold.Load(), AfterLeaving: s.AfterLeaving.Load(),
+		ExportsExpired: s.ExportsExpired.Load(), Announced: s.Announced.Load(),
+		AnnounceFailed: s.AnnounceFailed.Load(), StaleOrders: s.StaleOrders.Load(),
+		WastedTokens: s.WastedBefore.Load(),
+	}
+	if e == nil {
+		return d
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d.Cold = e.model.cold
+	d.WastedTokens += e.model.stats.WastedTokens
+	d.ReservedTokens = uint64(e.model.mem.reserved())
+	d.Running, d.Waiting, d.Exports = len(e.model.running), len(e.model.waiting), len(e.exports)
+	d.Model = e.model.stats
+	for _, r := range e.open {
+		if r.job.running && r.stream.idle() {
+			d.LeakedTokens += uint64(r.job.need())
+		}
+	}
+	for _, x := range e.exports {
+		if !x.imported {
+			d.LeakedTokens += uint64(x.request.job.need())
+		}
+	}
+	return d
+}
