raft: add API of the consensus core

Cause: the state server builds on the consensus core and needs its types. Conclusion: compiles; no behaviour yet.

--- /dev/null
+++ b/internal/raft/api.go
@@ -0,0 +1,131 @@
+package raft
+
+import (
+	"time"
+
+	"bilberryhub/internal/wirepb"
+)
+
+// Role is the part a replica plays in its term.
+type Role string
+
+// Roles. A learner or a replica outside of the membership is a follower.
+const (
+	Follower     Role = "follower"
+	PreCandidate Role = "pre-candidate"
+	Candidate    Role = "candidate"
+	Leader       Role = "leader"
+)
+
+// Ready is the work that the caller must do, in this order:
+//
+//  1. send Messages;
+//  2. persist Snapshot, then Entries, then HardState, and sync if MustSync;
+//  3. send AfterPersist;
+//  4. restore the state machine from Snapshot and apply Committed;
+//  5. call Advance with Persisted.
+//
+// One Ready is outstanding at a time: HasReady is false until Advance. Step,
+// Tick and Propose may be called in between.
+type Ready struct {
+	// HardState is nil when it has not changed.
+	HardState *wirepb.HardState
+	// Entries replace all stored entries from the index of the first one.
+	Entries []*wirepb.LogEntry
+	// Snapshot replaces the stored snapshot and all stored entries. It is nil
+	// when there is none to install.
+	Snapshot *wirepb.Snapshot
+	// MustSync is false when only the commit index changed, which may be lost.
+	MustSync bool
+	// Messages may be sent before the state above is durable.
+	Messages []*wirepb.RaftMessage
+	// AfterPersist holds messages that promise what the state above records.
+	// They must not be sent before that state is durable.
+	AfterPersist []*wirepb.RaftMessage
+	// Committed holds the entries to apply, in log order.
+	Committed []*wirepb.LogEntry
+
+	persisted Persisted
+}
+
+// Persisted returns what Advance needs once all work of the Ready is done.
+func (r Ready) Persisted() Persisted { return r.persisted }
+
+// Persisted tells the core what is durable and applied.
+type Persisted struct {
+	// Term and Vote of the durable hard state.
+	Term uint64
+	Vote string
+	// LastIndex and LastTerm identify the last durable entry or the snapshot.
+	LastIndex, LastTerm uint64
+	// Applied is the index of the last applied entry.
+	Applied uint64
+}
+
+// ChangeKind selects a membership change.
+type ChangeKind int
+
+// Kinds of membership change.
+const (
+	// AddLearner adds Replica as a learner.
+	AddLearner ChangeKind = iota + 1
+	// Promote turns the learner ID into a voter.
+	Promote
+	// Remove removes and retires the voter or learner ID.
+	Remove
+	// Replace retires the voter or learner ID and adds Replica as a learner.
+	Replace
+)
+
+// Change is one membership change.
+type Change struct {
+	Kind ChangeKind
+	// ID names the replica to promote, remove or replace.
+	ID string
+	// Replica is the replica to add.
+	Replica *wirepb.Replica
+}
+
+// Status describes a replica for the state dump.
+type Status struct {
+	ID             string        `json:"id"`
+	Role           Role          `json:"role"`
+	Term           uint64        `json:"term"`
+	Vote           string        `json:"vote,omitempty"`
+	Leader         string        `json:"leader,omitempty"`
+	LeaderContact  time.Duration `json:"leader_contact_ns"`
+	LeaseValid     bool          `json:"lease_valid"`
+	TransferringTo string        `json:"transferring_to,omitempty"`
+	Commit         uint64        `json:"commit"`
+	Applied        uint64        `json:"applied"`
+	FirstIndex     uint64        `json:"first_index"`
+	LastIndex      uint64        `json:"last_index"`
+	PersistedIndex uint64        `json:"persisted_index"`
+	SnapshotIndex  uint64        `json:"snapshot_index"`
+	Voters         []string      `json:"voters"`
+	Learners       []string      `json:"learners"`
+	Retired        []string      `json:"retired"`
+	// MembershipIndex is the log index of the membership in force, and
+	// MembershipPending is set until that entry is committed.
+	MembershipIndex   uint64 `json:"membership_index"`
+	MembershipPending bool   `json:"membership_pending"`
+	// RepairIncomplete is set while a learner waits for promotion or a
+	// membership change is not committed: until then, the loss of another
+	// replica may cost the quorum.
+	RepairIncomplete bool `json:"repair_incomplete"`
+	// Progress is set on the leader only.
+	Progress []PeerStatus `json:"progress,omitempty"`
+	// Rejected counts malformed messages by reason.
+	Rejected map[string]uint64 `json:"rejected_messages,omitempty"`
+}
+
+// PeerStatus describes what the leader knows of one replica.
+type PeerStatus struct {
+	ID              string `json:"id"`
+	Learner         bool   `json:"learner"`
+	State           string `json:"state"`
+	Match           uint64 `json:"match"`
+	Next            uint64 `json:"next"`
+	InflightEntries uint64 `json:"inflight_entries"`
+	InflightBytes   int    `json:"inflight_bytes"`
+}
