--- /dev/null
+++ b/internal/wal/crash_test.go
@@ -0,0 +1,162 @@
+package wal
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"bilberryhub/internal/wirepb"
+)
+
+var (
+	crashSeed  = flag.Uint64("crash-seed", 1, "first seed of the crash runs")
+	crashRuns  = flag.Int("crash-runs", 200, "number of crash runs")
+	ignoreSync = flag.Bool("ignore-sync", false, "make syncs ineffective, which must fail the crash test")
+)
+
+// crashModel is what must survive: everything that was acknowledged.
+type crashModel struct {
+	t       *testing.T
+	rng     *rand.Rand
+	fs      *memFS
+	w       *WAL
+	term    uint64
+	commit  uint64
+	snap    *wirepb.Snapshot
+	base    uint64
+	entries []*wirepb.LogEntry
+	hs      *wirepb.HardState
+	// pending is a batch whose append failed; it may survive.
+	pending     *Batch
+	pendingSnap *wirepb.Snapshot
+}
+
+func (m *crashModel) last() uint64 { return m.base + uint64(len(m.entries)) }
+
+func (m *crashModel) applyBatch(b *Batch) {
+	if len(b.Entries) > 0 {
+		keep := b.Entries[0].GetIndex() - m.base - 1
+		m.entries = append(m.entries[:keep:keep], b.Entries...)
+	}
+	if b.HardState != nil {
+		m.hs = b.HardState
+	}
+}
+
+func (m *crashModel) append() bool {
+	from := m.last() + 1
+	if low := max(m.commit, m.base) + 1; from > low && m.rng.IntN(5) == 0 {
+		from = low + m.rng.Uint64N(from-low)
+	}
+	if from <= m.last() || m.rng.IntN(4) == 0 {
+		m.term++
+	}
+	b := Batch{Entries: entries(m.term, from, from+m.rng.Uint64N(6))}
+	commit := m.commit
+	if m.rng.IntN(2) == 0 && from-1 > commit {
+		commit += m.rng.Uint64N(from - commit)
+	}
+	b.HardState = &wirepb.HardState{Term: m.term, Vote: "v", Commit: commit}
+	if err := m.w.Append(b); err != nil {
+		m.pending = &b
+		return false
+	}
+	m.applyBatch(&b)
+	m.commit = commit
+	return true
+}
+
+func (m *crashModel) snapshot() bool {
+	if m.commit <= m.base || m.commit > m.last() {
+		return true
+	}
+	index := m.base + 1 + m.rng.Uint64N(m.commit-m.base)
+	s := &wirepb.Snapshot{Index: index, Term: m.entries[index-m.base-1].GetTerm(), Data: []byte("state")}
+	if err := m.w.SaveSnapshot(s, false); err != nil {
+		m.pendingSnap = s
+		return false
+	}
+	m.applySnapshot(s)
+	return true
+}
+
+func (m *crashModel) applySnapshot(s *wirepb.Snapshot) {
+	m.entries = m.entries[s.GetIndex()-m.base:]
+	m.base, m.snap = s.GetIndex(), s
+}
+
+func (m *crashModel) injectFault() {
+	switch m.rng.IntN(12) {
+	case 0:
+		m.fs.failSync = ""
+		m.fs.failSync = []string{"log-", "snapshot-"}[m.rng.IntN(2)]
+	case 1:
+		m.fs.shortWrite = m.rng.IntN(60)
+	case 2:
+		m.fs.failSyncDir = true
+	}
+}
+
+// reopen crashes, recovers and compares.
+func (m *crashModel) reopen(seed uint64, step int) {
+	m.fs.crash(m.rng)
+	m.fs.failSync, m.fs.failSyncDir, m.fs.shortWrite = "", false, -1
+	w, rec, err := Open("data", Options{FS: m.fs, SegmentBytes: 300})
+	if err != nil {
+		m.t.Fatalf("seed %d step %d: acknowledged state is lost: %v", seed, step, err)
+	}
+	m.w = w
+	if m.pendingSnap != nil && rec.Snapshot.GetIndex() == m.pendingSnap.GetIndex() {
+		m.applySnapshot(m.pendingSnap)
+	}
+	if m.pending != nil && !m.matches(rec) {
+		m.applyBatch(m.pending)
+		m.commit = max(m.commit, m.hs.GetCommit())
+	}
+	if !m.matches(rec) {
+		m.t.Fatalf("seed %d step %d: acknowledged state is lost: recovered %s, expected snapshot %d, entries %d to %d, %v",
+			seed, step, describe(rec), m.snap.GetIndex(), m.base+1, m.last(), m.hs)
+	}
+	m.pending, m.pendingSnap = nil, nil
+}
+
+func (m *crashModel) matches(rec *Recovered) bool {
+	if !proto.Equal(rec.HardState, m.hs) || rec.Snapshot.GetIndex() != m.base || len(rec.Entries) != len(m.entries) {
+		return false
+	}
+	for i, e := range rec.Entries {
+		if !proto.Equal(e, m.entries[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestCrashes guards against the loss of an acknowledged entry, vote or
+// snapshot when the process or machine stops at any point, including after
+// failed syncs and short writes.
+func TestCrashes(t *testing.T) {
+	for seed := *crashSeed; seed < *crashSeed+uint64(*crashRuns); seed++ {
+		m := &crashModel{t: t, rng: rand.New(rand.NewPCG(seed, 0)), fs: newMemFS(), hs: &wirepb.HardState{}, term: 1}
+		m.fs.ignoreSync = *ignoreSync
+		w, _, err := Open("data", Options{FS: m.fs, SegmentBytes: 300})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.w = w
+		for step := range 60 {
+			m.injectFault()
+			ok := true
+			if m.rng.IntN(6) == 0 {
+				ok = m.snapshot()
+			} else {
+				ok = m.append()
+			}
+			if !ok || m.rng.IntN(8) == 0 {
+				m.reopen(seed, step)
+			}
+		}
+	}
+}
