--- /dev/null
+++ b/cmd/bilberry-entry/main.go
@@ -0,0 +1,56 @@
+// Command bilberry-entry is the entry process: it takes requests from callers
+// and has them run by backend servers. See docs/operations.md.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/entry"
+	"bilberryhub/internal/observe"
+	"bilberryhub/internal/settings"
+)
+
+func main() {
+	flags := settings.Register(flag.CommandLine)
+	flag.Parse()
+	if flags.Version {
+		settings.PrintVersion(os.Stdout, "bilberry-entry")
+		return
+	}
+	if err := run(flags); err != nil {
+		fmt.Fprintln(os.Stderr, "bilberry-entry:", err)
+		os.Exit(1)
+	}
+}
+
+func run(flags *settings.Flags) error {
+	s, err := entry.LoadSettings(flags.Config)
+	if err != nil || flags.Check {
+		return err
+	}
+	log, err := observe.NewLogger("entry", s.ID, s.LogLevel)
+	if err != nil {
+		return err
+	}
+	server, err := entry.New(s, log)
+	if err != nil {
+		return errors.Annotate(err, "set up")
+	}
+	if err := server.Start(); err != nil {
+		return errors.Annotate(err, "start")
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	sig := <-stop
+	log.Info("stopping", zap.Stringer("signal", sig))
+	err = server.Drain()
+	server.Close()
+	return err
+}
--- /dev/null
+++ b/internal/entry/announce.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/announce"
+)
+
+// serveAnnounce takes an announcement when this process is the dispatcher of
+// the pool, and otherwise redirects to the one that is.
+func (s *Server) serveAnnounce(w http.ResponseWriter, hr *http.Request) {
+	a, err := announce.Decode(hr.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var reply announce.Reply
+	var next string
+	err = s.loop.do(hr.Context(), func(c *control) {
+		d, ok := c.peers.Dispatcher(a.FailureDomain, a.Service)
+		if ok && d.ID != s.settings.ID {
+			next = d.HTTPAddress
+			if !c.core.Owns(c.now(), a) {
+				return
+			}
+		}
+		reply = c.core.Announce(c.now(), a)
+		reply.Next = next
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	if reply.Owner == "" {
+		w.Header().Set("Location", "http://"+next+announce.Path)
+		w.WriteHeader(http.StatusTemporaryRedirect)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(reply); err != nil {
+		s.log.Debug("reply to announcement not sent", zap.String("backend_server", a.ID), zap.Error(err))
+	}
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -30,16 +30,25 @@
 // answerWriter relays the answer of a backend server to the caller.
 type answerWriter interface {
 	answer(ctx context.Context, a *attempt, resp *http.Response) outcome
+	// fail ends an answer that has begun.
+	fail(ref *refusal.Error, id string)
 }
 
 // streamWriter relays server-sent events.
-type streamWriter struct{ w http.ResponseWriter }
+type streamWriter struct {
+	w      http.ResponseWriter
+	stream *relay.Stream
+}
+
+// fail sends an error event in place of the terminal event.
+func (sw *streamWriter) fail(ref *refusal.Error, id string) { sw.stream.Fail(ref.JSON(id)) }
 
-func (sw streamWriter) answer(ctx context.Context, a *attempt, resp *http.Response) outcome {
+func (sw *streamWriter) answer(ctx context.Context, a *attempt, resp *http.Response) outcome {
 	h := sw.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
 	st := relay.NewStream(sw.w, a.id)
+	sw.stream = st
 	st.Stall = a.server.settings.stall()
 	// Before the first event the engine may be prefilling; the deadline
 	// bounds that time.
@@ -124,9 +133,6 @@
 	if out.step == wirepb.Progress_STEP_CANCELLED {
 		a.cancelStream()
 	}
-	if out.answered && errors.Cause(err) != relay.ErrCaller {
-		st.Fail(out.err.JSON(a.req.id))
-	}
 	return out
 }
 
@@ -160,7 +166,10 @@
 	body        []byte
 }
 
-func (bw bufferWriter) answer(ctx context.Context, a *attempt, resp *http.Response) outcome {
+// fail does nothing: a buffered answer is forwarded whole.
+func (bw *bufferWriter) fail(*refusal.Error, string) {}
+
+func (bw *bufferWriter) answer(ctx context.Context, a *attempt, resp *http.Response) outcome {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
 	out := outcome{sent: true, step: wirepb.Progress_STEP_DONE}
 	switch {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -51,23 +51,28 @@
 	tokens   uint64
 }
 
-// run dispatches r until it is answered, refused or out of attempts.
-func (s *Server) run(ctx context.Context, r *request, w answerWriter) *refusal.Error {
+// run dispatches r until it is answered, refused or out of attempts. Answered
+// is set when the caller has received bytes; an error then ends the stream.
+func (s *Server) run(ctx context.Context, r *request, w answerWriter) (ref *refusal.Error, answered bool) {
 	var excluded []string
 	everSent := false
 	for n := uint32(0); ; n++ {
 		r.setPhase(phaseQueued)
 		res, ref := s.reserve(ctx, r, n, excluded)
 		if ref != nil {
-			return truthful(ref, everSent)
+			return truthful(ref, everSent), false
 		}
 		out := s.dispatch(ctx, r, res, w)
 		everSent = everSent || out.sent
-		if out.err == nil || out.answered {
-			return out.err
+		if out.err == nil {
+			return nil, true
+		}
+		if out.answered {
+			w.fail(out.err, r.id)
+			return out.err, true
 		}
 		if !s.mayRetry(ctx, r, n, &out) {
-			return truthful(out.err, everSent)
+			return truthful(out.err, everSent), false
 		}
 		metricRetries.Inc()
 		if out.excluded != "" {
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"bilberryhub/internal/refusal"
+	"bilberryhub/internal/wirepb"
+)
+
+var (
+	metricFirstToken  = metrics.NewHistogram("bilberry_first_token_seconds")
+	metricDuration    = metrics.NewHistogram("bilberry_request_seconds")
+	metricRetries     = metrics.NewCounter("bilberry_retries_total")
+	metricResumes     = metrics.NewCounter("bilberry_stream_resumes_total")
+	metricCrashes     = metrics.NewCounter("bilberry_backend_crashes_total")
+	metricVoidPermits = metrics.NewCounter("bilberry_void_permits_total")
+	metricPauses      = metrics.NewCounter("bilberry_process_pauses_total")
+)
+
+func countRefusal(ref *refusal.Error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`bilberry_refusals_total{code=%q,run=%q}`, ref.Code, ref.Run)).Inc()
+}
+
+func countOutcome(step wirepb.Progress_Step) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`bilberry_dispatches_total{end=%q}`, step.String())).Inc()
+}
