--- /dev/null
+++ b/internal/suspicion/suspicion.go
@@ -0,0 +1,173 @@
+// Package suspicion decides which requests are suspected of crashing backend
+// servers.
+//
+// A request that crashes each backend server that runs it is sent again by its
+// caller and would take down the fleet. Each crash is evidence against the
+// requests that ran there. The evidence is a set of facts, so that broadcasts
+// that arrive twice, late or in another order lead to the same counts at every
+// dispatcher.
+package suspicion
+
+import (
+	"time"
+)
+
+const (
+	// Memory is how long evidence counts after the last crash of a fingerprint.
+	Memory = 10 * time.Minute
+	// Quarantine is the number of crashes after which a fingerprint is refused.
+	Quarantine = 2
+	// maxFingerprints bounds the table. The oldest evidence is dropped first.
+	maxFingerprints = 65536
+	// maxProven bounds the fingerprints that are remembered as harmless.
+	maxProven = 65536
+)
+
+// Crash identifies the crash of one backend server.
+type Crash struct {
+	Backend string
+	Boot    uint64
+}
+
+// Table holds the evidence known to one process.
+type Table struct {
+	records map[string]*record
+	// sole holds the crashes that are attributed to one fingerprint alone.
+	sole   map[Crash]soleCrash
+	proven map[string]time.Duration
+}
+
+type record struct {
+	last    time.Duration
+	crashes map[Crash]time.Duration
+}
+
+type soleCrash struct {
+	fingerprint string
+	at          time.Duration
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{records: map[string]*record{}, sole: map[Crash]soleCrash{}, proven: map[string]time.Duration{}}
+}
+
+// Crashed records that a backend server crashed while the request ran there.
+// sole attributes the crash to this fingerprint alone: it was the only suspect
+// on the backend server.
+func (t *Table) Crashed(now time.Duration, fingerprint string, crash Crash, sole bool) {
+	if fingerprint == "" {
+		return
+	}
+	delete(t.proven, fingerprint)
+	r := t.records[fingerprint]
+	if r == nil {
+		if len(t.records) >= maxFingerprints {
+			t.dropOldest()
+		}
+		r = &record{crashes: map[Crash]time.Duration{}}
+		t.records[fingerprint] = r
+	}
+	if _, known := r.crashes[crash]; !known {
+		r.last = max(r.last, now)
+		r.crashes[crash] = now
+	}
+	if _, known := t.sole[crash]; sole && !known {
+		t.sole[crash] = soleCrash{fingerprint, now}
+	}
+}
+
+// Completed records a complete run, which clears the fingerprint.
+func (t *Table) Completed(now time.Duration, fingerprint string) {
+	if fingerprint == "" {
+		return
+	}
+	delete(t.records, fingerprint)
+	if len(t.proven) < maxProven {
+		t.proven[fingerprint] = now
+	}
+}
+
+// Count returns how many crashes are attributed to a fingerprint.
+func (t *Table) Count(fingerprint string) int {
+	r := t.records[fingerprint]
+	if r == nil {
+		return 0
+	}
+	n := 0
+	for crash := range r.crashes {
+		if s, ok := t.sole[crash]; !ok || s.fingerprint == fingerprint {
+			n++
+		}
+	}
+	return n
+}
+
+// Suspect tells whether a fingerprint is under suspicion.
+func (t *Table) Suspect(fingerprint string) bool { return t.Count(fingerprint) > 0 }
+
+// Quarantined tells whether a fingerprint is refused, and for how much longer.
+func (t *Table) Quarantined(now time.Duration, fingerprint string) (time.Duration, bool) {
+	if t.Count(fingerprint) < Quarantine {
+		return 0, false
+	}
+	left := t.records[fingerprint].last + Memory - now
+	return max(0, left), left > 0
+}
+
+// Proven tells whether a fingerprint completed a run since its last crash.
+func (t *Table) Proven(fingerprint string) bool {
+	_, ok := t.proven[fingerprint]
+	return ok
+}
+
+// Expire drops evidence older than Memory.
+func (t *Table) Expire(now time.Duration) {
+	for fp, r := range t.records {
+		if now-r.last >= Memory {
+			delete(t.records, fp)
+		}
+	}
+	for crash, s := range t.sole {
+		// Kept twice as long, so that it outlives the evidence it outweighs.
+		if now-s.at >= 2*Memory {
+			delete(t.sole, crash)
+		}
+	}
+	for fp, at := range t.proven {
+		if now-at >= Memory {
+			delete(t.proven, fp)
+		}
+	}
+}
+
+// Entry is one row of a state dump.
+type Entry struct {
+	Fingerprint string        `json:"fingerprint"`
+	Count       int           `json:"count"`
+	Age         time.Duration `json:"age_ns"`
+	Crashes     []Crash       `json:"crashes"`
+}
+
+// Dump returns all fingerprints with evidence.
+func (t *Table) Dump(now time.Duration) []Entry {
+	out := make([]Entry, 0, len(t.records))
+	for fp, r := range t.records {
+		e := Entry{Fingerprint: fp, Count: t.Count(fp), Age: now - r.last}
+		for crash := range r.crashes {
+			e.Crashes = append(e.Crashes, crash)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func (t *Table) dropOldest() {
+	oldest, at := "", time.Duration(1<<62)
+	for fp, r := range t.records {
+		if r.last < at {
+			oldest, at = fp, r.last
+		}
+	}
+	delete(t.records, oldest)
+}
