Keep the configuration of an entry process in force

A Syncer follows one state process at a time, publishes whole configurations, never one below the highest index it has heard of, and pulls from peers when no state process delivers. ServeSubscription is the side of the state process.

The age of the configuration counts from the moment the answered probe was sent, so a heartbeat that waited in a buffer never counts as recent. A replica that does not echo probes confirms only by the first heartbeat of a stream.

--- /dev/null
+++ b/internal/configsync/configsync_test.go
@@ -0,0 +1,332 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/config"
+	"bilberryhub/internal/invariant"
+	"bilberryhub/internal/wire"
+	"bilberryhub/internal/wirepb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// snapshot returns the configuration at index; its manifest has that number.
+func snapshot(index uint64) *wirepb.ConfigSnapshot {
+	s := &wirepb.ConfigSnapshot{Index: index, ManifestNumber: index, Manifest: fmt.Appendf(nil,
+		`{"number":%d,"services":[{"name":"a","kind":"model","models":["a"]}],"accounts":[],
+		"failure_domains":[{"name":"d","region":"r"}],"urgencies":[{"name":"u","priority":0}]}`, index)}
+	s.Digest = config.Digest(s)
+	return s
+}
+
+// replica is a state process under the control of a test.
+type replica struct {
+	t       *testing.T
+	server  *wire.Server
+	address string
+
+	mu      sync.Mutex
+	config  *wirepb.ConfigSnapshot
+	fresh   bool
+	changed chan struct{}
+}
+
+func newReplica(t *testing.T, index uint64) *replica {
+	r := &replica{t: t, config: snapshot(index), fresh: true, changed: make(chan struct{}), address: "127.0.0.1:0"}
+	r.start(func(ctx context.Context, st *wire.Stream, req *wirepb.Envelope) error {
+		return ServeSubscription(ctx, st, req.GetSubscribe(), r)
+	})
+	return r
+}
+
+func (r *replica) start(h wire.Handler) {
+	s, err := wire.Serve(r.address, wire.Options{Self: wire.Identity{Kind: wire.KindState, ID: "s"}}, h, zap.NewNop())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.server, r.address = s, s.Address()
+	r.t.Cleanup(func() { _ = s.Close() })
+}
+
+func (r *replica) Config() *wirepb.ConfigSnapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.config
+}
+
+func (r *replica) Fresh() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fresh
+}
+
+func (r *replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+func (r *replica) set(index uint64, fresh bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config, r.fresh = snapshot(index), fresh
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// subject is a Syncer under test with all indexes that it published.
+type subject struct {
+	*Syncer
+	t *testing.T
+	// skew is added to the clock.
+	skew      atomic.Int64
+	mu        sync.Mutex
+	published []uint64
+}
+
+func newSubject(t *testing.T, states ...string) *subject {
+	x := &subject{t: t}
+	x.Syncer = New(Options{
+		EntryID: "e", States: states, Wire: wire.Options{Self: wire.Identity{Kind: wire.KindEntry, ID: "e"}}, Now: x.now,
+		OnChange: func(v *config.Version) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			if n := len(x.published); n > 0 && x.published[n-1] > v.Index {
+				t.Errorf("index %d published after %d", v.Index, x.published[n-1])
+			}
+			x.published = append(x.published, v.Index)
+		},
+	})
+	return x
+}
+
+// run starts the Syncer and stops it at the end of the test.
+func (x *subject) run() *subject {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); x.Run(ctx) }()
+	x.t.Cleanup(func() { cancel(); <-done })
+	return x
+}
+
+func (x *subject) now() time.Time { return time.Now().Add(time.Duration(x.skew.Load())) }
+
+// within waits until ok holds.
+func (x *subject) within(limit time.Duration, what string, ok func() bool) {
+	x.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	x.t.Fatalf("not within %s: %s; status %+v", limit, what, x.Status())
+}
+
+func (x *subject) at(index uint64) func() bool {
+	return func() bool { return x.currentKnown().index == index }
+}
+
+// staysAt checks that the configuration does not change for a while.
+func (x *subject) staysAt(index uint64, d time.Duration) {
+	x.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if got := x.currentKnown().index; got != index {
+			x.t.Fatalf("index %d in force, want %d", got, index)
+		}
+	}
+}
+
+func (x *subject) fresh() bool { return x.Age(x.now()) < 1500*time.Millisecond }
+
+// Each case guards against a configuration that is lost, late, reverted or
+// taken for recent under one fault.
+func TestFaults(t *testing.T) {
+	restore := invariant.SetHandler(func(name, detail string) { t.Errorf("%s: %s", name, detail) })
+	t.Cleanup(restore)
+	for name, test := range map[string]func(t *testing.T){
+		"change is pushed": func(t *testing.T) {
+			r := newReplica(t, 5)
+			x := newSubject(t, r.address).run()
+			x.within(time.Second, "first configuration", x.at(5))
+			x.within(time.Second, "confirmation", x.fresh)
+			r.set(6, true)
+			x.within(300*time.Millisecond, "pushed change", x.at(6))
+		},
+		"hundreds of changes missed": func(t *testing.T) {
+			r := newReplica(t, 5)
+			x := newSubject(t, r.address).run()
+			x.within(time.Second, "first configuration", x.at(5))
+			_ = r.server.Close()
+			r.set(705, true)
+			r.start(func(ctx context.Context, st *wire.Stream, req *wirepb.Envelope) error {
+				return ServeSubscription(ctx, st, req.GetSubscribe(), r)
+			})
+			x.within(3*time.Second, "whole configuration after the gap", x.at(705))
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			if n := len(x.published); n > 2 {
+				t.Errorf("published %v, want 5 and 705", x.published)
+			}
+		},
+		"lower index after failover": func(t *testing.T) {
+			a, b := newReplica(t, 10), newReplica(t, 8)
+			x := newSubject(t, a.address, b.address).run()
+			x.within(5*time.Second, "newest configuration", x.at(10))
+			_ = a.server.Close()
+			x.staysAt(10, 3*time.Second)
+			if x.fresh() {
+				t.Error("a state process that is behind confirms the configuration")
+			}
+			b.set(11, true)
+			x.within(5*time.Second, "use of the state process after it caught up", x.at(11))
+		},
+		"lower index than a peer's": func(t *testing.T) {
+			r := newReplica(t, 8)
+			x := newSubject(t, r.address)
+			x.NotePeer("127.0.0.1:1", 9, 0)
+			x.run().staysAt(0, time.Second)
+			if v := x.Current(); v != nil {
+				t.Errorf("index %d published below the known index 9", v.Index)
+			}
+		},
+		"state processes that are of no use": func(t *testing.T) {
+			behind, isolated, silent, good := newReplica(t, 8), newReplica(t, 9), newReplica(t, 10), newReplica(t, 10)
+			isolated.set(10, false)
+			_ = silent.server.Close()
+			silent.start(func(ctx context.Context, _ *wire.Stream, _ *wirepb.Envelope) error { <-ctx.Done(); return nil })
+			// All rotations start at each of them once.
+			states := []string{behind.address, isolated.address, silent.address, good.address}
+			for i := range states {
+				x := newSubject(t, append(append([]string{}, states[i:]...), states[:i]...)...)
+				x.NotePeer("127.0.0.1:1", 10, 0)
+				x.run()
+				defer x.within(15*time.Second, "confirmation by the only useful state process", x.fresh)
+			}
+		},
+		"no contact with a leader": func(t *testing.T) {
+			r := newReplica(t, 5)
+			x := newSubject(t, r.address).run()
+			x.within(time.Second, "confirmation", x.fresh)
+			r.set(5, false)
+			time.Sleep(time.Second)
+			before := x.Age(x.now())
+			time.Sleep(time.Second)
+			if grown := x.Age(x.now()) - before; grown < 900*time.Millisecond {
+				t.Errorf("age grew by %s in 1 s without a fresh heartbeat", grown)
+			}
+		},
+		"pull from a peer": func(t *testing.T) {
+			source := New(Options{})
+			if err := source.offer(snapshot(7), "log", true); err != nil {
+				t.Fatal(err)
+			}
+			r := &replica{t: t, address: "127.0.0.1:0"}
+			r.start(func(_ context.Context, st *wire.Stream, req *wirepb.Envelope) error {
+				return source.ServePull(st, req.GetConfigPull())
+			})
+			x := newSubject(t, "127.0.0.1:1").run()
+			x.NotePeer("127.0.0.1:1", 8, 0)
+			x.NotePeer(r.address, 7, snapshot(7).Digest)
+			x.staysAt(0, 2*time.Second)
+			if err := source.offer(snapshot(9), "log", true); err != nil {
+				t.Fatal(err)
+			}
+			x.NotePeer(r.address, 9, snapshot(9).Digest)
+			x.within(2*time.Second, "pull", x.at(9))
+			if x.Age(x.now()) != NeverFresh {
+				t.Error("a peer's configuration counts as confirmed")
+			}
+		},
+		"damaged configuration": func(t *testing.T) {
+			r := newReplica(t, 5)
+			damaged := snapshot(5)
+			damaged.Manifest = append([]byte(" "), damaged.Manifest...)
+			r.config = damaged
+			x := newSubject(t, r.address).run()
+			x.staysAt(0, time.Second)
+			r.set(5, true)
+			x.within(2*time.Second, "repair", x.at(5))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(t)
+		})
+	}
+}
+
+// Guards against a damaged copy that is kept because its index is right.
+func TestRepairByDigest(t *testing.T) {
+	reported := atomic.Bool{}
+	defer invariant.SetHandler(func(string, string) { reported.Store(true) })()
+	r := newReplica(t, 5)
+	other := snapshot(5)
+	other.Orders = []*wirepb.Order{{Kind: config.TargetBackendServer, Target: "b", Number: 1}}
+	other.Digest = config.Digest(other)
+	x := newSubject(t, r.address)
+	if err := x.offer(other, "peer", false); err != nil {
+		t.Fatal(err)
+	}
+	x.run().within(2*time.Second, "repair", func() bool { return x.Current().Digest == snapshot(5).Digest })
+	if !reported.Load() {
+		t.Error("two contents of one index are not reported")
+	}
+}
+
+// Guards against a heartbeat that waited while the process was frozen or the
+// path was blocked and counts as recent: the age must include the time in
+// between until a new probe is answered.
+func TestAgeAfterFreeze(t *testing.T) {
+	const frozen = time.Minute
+	c := snapshot(5)
+	resume := make(chan struct{})
+	r := &replica{t: t, address: "127.0.0.1:0"}
+	x := newSubject(t)
+	r.start(func(ctx context.Context, st *wire.Stream, req *wirepb.Envelope) error {
+		if err := st.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigSnapshot{ConfigSnapshot: c}}); err != nil {
+			return nil
+		}
+		for probe := req.GetSubscribe().GetProbe(); ; {
+			if probe == 2 {
+				// The clock of the entry process jumps while this heartbeat is
+				// on its way.
+				x.skew.Add(int64(frozen))
+				<-resume
+			}
+			if err := st.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigHeartbeat{ConfigHeartbeat: &wirepb.ConfigHeartbeat{
+				Index: c.Index, Digest: c.Digest, Fresh: true, Probe: probe,
+			}}}); err != nil {
+				return nil
+			}
+			env, err := st.Recv()
+			if err != nil {
+				return nil
+			}
+			if probe == 2 {
+				<-ctx.Done()
+				return nil
+			}
+			probe = env.GetSubscribe().GetProbe()
+		}
+	})
+	x.opts.States = []string{r.address}
+	x.run().within(time.Second, "first confirmation", x.fresh)
+	x.within(time.Second, "jump of the clock", func() bool { return x.skew.Load() != 0 })
+	if age := x.Age(x.now()); age < frozen {
+		t.Errorf("age after the freeze is %s", age)
+	}
+	close(resume)
+	time.Sleep(200 * time.Millisecond)
+	if age := x.Age(x.now()); age < frozen {
+		t.Errorf("age is %s after a heartbeat from before the freeze, want at least %s", age, frozen)
+	}
+}
