--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -6,8 +6,8 @@
 //
 // Bounds. A change is published one network delay after the state process has
 // applied it. A state process that is silent, behind or not fresh is left
-// after 2 s, and the next one is tried 0.2 s later, so with n state processes
-// of which one works, a new subscription takes at most (n-1) * 4.2 s including
+// after 1.5 s, and the next one is tried 0.2 s later, so with n state processes
+// of which one works, a new subscription takes at most (n-1) * 3.2 s including
 // the wait for its first heartbeat. A configuration that differs from the state process's is
 // repaired by the digest within 1.5 s. With no usable state process, a peer's
 // newer configuration arrives within 1 s of the peer's heartbeat. A
@@ -36,8 +36,9 @@
 	// probeInterval is how often a state process is asked for a heartbeat.
 	probeInterval = 500 * time.Millisecond
 	// patience is how long a state process may be silent, behind or not fresh.
-	// It is below the 3 s after which a configuration counts as stale.
-	patience = 2 * time.Second
+	// With an age of up to 0.5 s at the failure, one failover ends before the 3 s
+	// after which a configuration counts as stale.
+	patience = 1500 * time.Millisecond
 	// retryDelay is the pause between two state processes.
 	retryDelay = 200 * time.Millisecond
 	// peerAfter is the age above which peers are asked as well.
