--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -187,6 +187,7 @@
 		PermitMs:   uint32((d.grantedAt - d.arrived + PermitLifetime - permitMargin) / time.Millisecond),
 		QueuedMs:   uint32((d.grantedAt - d.arrived) / time.Millisecond),
 		Priority:   uint32(d.level) * 2,
+		Suspected:  d.suspect,
 	}
 	if d.long {
 		// Within an urgency the engine serves short prompts first.
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -21,14 +21,16 @@
 	var next string
 	err = s.loop.do(hr.Context(), func(c *control) {
 		d, ok := c.peers.Dispatcher(a.FailureDomain, a.Service)
-		if ok && d.ID != s.settings.ID {
+		switch {
+		case !ok || d.ID == s.settings.ID:
+			reply = c.core.Announce(c.now(), a)
+		case c.core.Owns(c.now(), a.FailureDomain, a.Service, a.ID):
+			next = d.HTTPAddress
+			reply = c.core.HandOver(c.now(), a)
+			reply.Next = next
+		default:
 			next = d.HTTPAddress
-			if !c.core.Owns(c.now(), a) {
-				return
-			}
 		}
-		reply = c.core.Announce(c.now(), a)
-		reply.Next = next
 	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -108,6 +108,8 @@
 // dispatch sends r to the granted backend server and relays the answer.
 func (s *Server) dispatch(ctx context.Context, r *request, res *reservation, w answerWriter) outcome {
 	defer res.close()
+	s.open.add(res.dispatcher, res.grant.GetDispatchId())
+	defer s.open.remove(res.dispatcher, res.grant.GetDispatchId())
 	a := &attempt{server: s, req: r, res: res, start: time.Now(), member: res.grant.GetMembers()[0], id: res.grant.GetDispatchId()}
 	a.log = s.log.With(zap.String("request_id", r.id), zap.String("dispatch", a.id), zap.String("backend_server", a.member.GetBackend()))
 	r.setPhase(phaseGranted)
@@ -116,7 +118,7 @@
 	if out.step == wirepb.Progress_STEP_BROKEN {
 		a.examine(&out)
 	}
-	if out.step == wirepb.Progress_STEP_DONE {
+	if out.step == wirepb.Progress_STEP_DONE && res.grant.GetSuspected() {
 		s.clearSuspicion(r)
 	}
 	res.report(out.step, time.Since(a.start), out.tokens)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -33,10 +33,9 @@
 	server  *Server
 	core    *dispatch.Core
 	peers   *peers.Table
-	router  *routing.Router
+	router  *routing.Table
+	retries *routing.RetryBudget
 	waiters map[string]chan<- *wirepb.Envelope
-	// lost remembers which peers were alive, to notice when one is gone.
-	alive    map[string]uint64
 	lastTick time.Time
 	frozen   uint64
 }
@@ -121,26 +120,19 @@
 	c.lastTick = time.Now()
 	now := c.now()
 	c.core.SetConfigAge(c.server.sync.Age(time.Now()))
-	c.peers.Tick(now)
-	c.noticeLostPeers()
+	c.peersLost(c.peers.Expire(now))
+	c.retries.Expire(now)
 	c.core.Tick(now)
 	c.server.requests.checkDeadlines(c.lastTick, deadlineGrace)
 }
 
-// noticeLostPeers tells the dispatcher core about entry processes that are
-// gone or have restarted.
-func (c *control) noticeLostPeers() {
-	for id, incarnation := range c.alive {
-		p, ok := c.peers.Get(id)
-		if ok && p.Incarnation == incarnation {
-			continue
-		}
-		delete(c.alive, id)
-		c.core.EntryLost(c.now(), id, incarnation)
-		c.server.log.Warn("entry process lost", zap.String("peer", id), zap.Uint64("incarnation", incarnation))
-	}
-	for _, p := range c.peers.Alive() {
-		c.alive[p.ID] = p.Incarnation
+// peersLost tells the tables about entry processes that are gone or have
+// restarted.
+func (c *control) peersLost(lost []peers.Lost) {
+	for _, p := range lost {
+		c.core.EntryLost(c.now(), p.ID, p.Incarnation)
+		c.router.Lost(p.ID, p.Incarnation)
+		c.server.log.Warn("entry process lost", zap.String("peer", p.ID), zap.Uint64("incarnation", p.Incarnation))
 	}
 }
 
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
 	defer cancel()
 	err := s.loop.do(ctx, func(c *control) {
-		d.Peers = c.peers.Known()
+		d.Peers = c.peers.Live()
 		d.Pools = c.core.Dump(c.now())
 		d.Routing = c.router.Dump(c.now())
 		d.Pauses = c.frozen
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -50,10 +51,11 @@
 		for _, address := range s.settings.Entries {
 			addresses[address] = true
 		}
-		for _, p := range c.peers.Known() {
+		for _, p := range append(c.peers.Live(), c.peers.Unheard()...) {
 			addresses[p.Address] = true
 		}
-		delete(addresses, s.wire.Address())
+		delete(addresses, c.server.wire.Address())
+		c.ownSummaries()
 	})
 	if err != nil {
 		return
@@ -122,37 +124,23 @@
 
 // heartbeat returns what this process tells its peers.
 func (c *control) heartbeat() *wirepb.PeerHeartbeat {
-	hb := &wirepb.PeerHeartbeat{Self: peerInfo(c.peers.Self())}
-	for _, p := range c.peers.Alive() {
-		hb.Known = append(hb.Known, peerInfo(p))
-	}
 	if v := c.server.sync.Current(); v != nil {
-		hb.ConfigIndex, hb.ConfigDigest = v.Index, v.Digest
-	}
-	return hb
-}
-
-func peerInfo(p peers.Peer) *wirepb.PeerInfo {
-	return &wirepb.PeerInfo{
-		Id: p.ID, Address: p.Address, HttpAddress: p.HTTPAddress, FailureDomain: p.FailureDomain,
-		Incarnation: p.Incarnation, Draining: p.Draining,
+		c.peers.SetConfig(v.Index, v.Digest)
 	}
+	return c.peers.Message()
 }
 
-func peerOf(m *wirepb.PeerInfo) peers.Peer {
-	return peers.Peer{
-		ID: m.GetId(), Address: m.GetAddress(), HTTPAddress: m.GetHttpAddress(), FailureDomain: m.GetFailureDomain(),
-		Incarnation: m.GetIncarnation(), Draining: m.GetDraining(),
-	}
+// ownSummaries puts the pools dispatched here into the table of summaries.
+func (c *control) ownSummaries() []*wirepb.PoolSummary {
+	own := c.core.Summaries(c.now())
+	c.router.Update(c.now(), &wirepb.PoolSummaries{
+		Sender: c.server.settings.ID, Incarnation: c.server.incarnation, Pools: own,
+	})
+	return own
 }
 
 func (c *control) heard(hb *wirepb.PeerHeartbeat) {
-	c.peers.Heard(c.now(), peerOf(hb.GetSelf()))
-	for _, p := range hb.GetKnown() {
-		if p.GetId() != c.server.settings.ID {
-			c.peers.Learn(c.now(), peerOf(p))
-		}
-	}
+	c.peersLost(c.peers.Heartbeat(c.now(), hb))
 }
 
 // serveCall answers one call of another process.
@@ -190,7 +178,7 @@
 	err := s.loop.do(ctx, func(c *control) {
 		c.heard(hb)
 		self = c.heartbeat()
-		sums = c.core.Summaries(c.now())
+		sums = c.ownSummaries()
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -214,7 +202,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, broadcastTimeout)
 	defer cancel()
 	var alive []peers.Peer
-	if s.loop.do(ctx, func(c *control) { c.core.Suspect(c.now(), m); alive = c.peers.Alive() }) != nil {
+	if s.loop.do(ctx, func(c *control) { c.core.Suspect(c.now(), m); alive = c.others() }) != nil {
 		return
 	}
 	done := make(chan struct{}, len(alive))
@@ -229,6 +217,11 @@
 	}
 }
 
+// others returns the live entry processes without this one.
+func (c *control) others() []peers.Peer {
+	return slices.DeleteFunc(c.peers.Live(), func(p peers.Peer) bool { return p.ID == c.server.settings.ID })
+}
+
 // noCapacity is the refusal when no pool can take a request.
 func noCapacity(reason string) *refusal.Error {
 	return refusal.New(refusal.NoCapacity, reason).After(time.Second)
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -14,7 +14,8 @@
 
 // reservation is a grant and the way to report on it.
 type reservation struct {
-	reserve *wirepb.Reserve
+	reserve    *wirepb.Reserve
+	dispatcher string
 	grant   *wirepb.Grant
 	// expires is when the permit ends, by the clock of this process.
 	expires time.Time
@@ -84,11 +85,10 @@
 		res.close()
 		return nil, errors.Errorf("reserve at dispatcher %s: grant names no backend server", dispatcher.id)
 	}
-	// The request was sent before it was queued and granted, so this end is
-	// never later than the one the dispatcher counts with.
-	life := time.Duration(g.GetQueuedMs()+g.GetPermitMs()) * time.Millisecond
-	res.expires = sent.Add(life)
-	res.reserve = m
+	// Reserve was sent before it was received, so this end is never later than
+	// the one the dispatcher counts with.
+	res.expires = sent.Add(time.Duration(g.GetPermitMs()) * time.Millisecond)
+	res.reserve, res.dispatcher = m, dispatcher.id
 	return res, nil
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -31,6 +31,11 @@
 	"bilberryhub/internal/wire"
 )
 
+// defaultDistance is the added round trip to another failure domain: one way
+// takes 1 to 1.5 ms, and a dispatch needs a round trip to the dispatcher and
+// one to the backend server.
+const defaultDistance = 6 * time.Millisecond
+
 // headerTimeout bounds the time a caller takes to send the headers.
 const headerTimeout = 5 * time.Second
 
@@ -44,6 +49,7 @@
 
 	loop     *loop
 	requests *requestTable
+	open     *openList
 	sync     *configsync.Syncer
 	claims   *claim.Client
 	backends *backend.Client
@@ -78,7 +84,7 @@
 		// Nanoseconds since the epoch differ for each start, also after a clock
 		// that was set back by less than the time since the last start.
 		incarnation: uint64(time.Now().UnixNano()),
-		loop:        newLoop(), requests: newRequestTable(), backends: backend.NewClient(nil),
+		loop:        newLoop(), requests: newRequestTable(), open: newOpenList(), backends: backend.NewClient(nil),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.abort, s.kill = context.WithCancel(context.Background())
@@ -137,7 +143,7 @@
 }
 
 func (s *Server) startControl() {
-	c := &control{server: s, waiters: map[string]chan<- *envelope{}, alive: map[string]uint64{}}
+	c := &control{server: s, waiters: map[string]chan<- *envelope{}, retries: routing.NewRetryBudget()}
 	seed := s.settings.Seed
 	if seed == 0 {
 		seed = s.incarnation
@@ -147,8 +153,10 @@
 		Policy: s.settings.DispatchPolicy, Seed: seed,
 	})
 	c.peers = peers.New(s.selfPeer())
-	c.router = routing.New(routing.Config{FailureDomain: s.settings.FailureDomain, Entry: s.settings.ID})
-	c.core.SetHomes(c)
+	c.router = routing.New(routing.Config{
+		FailureDomain: s.settings.FailureDomain, Entry: s.settings.ID, DefaultDistance: defaultDistance,
+	})
+	c.core.SetHomes(c.router)
 	s.wg.Go(func() { s.loop.run(s.ctx, c) })
 	s.wg.Go(s.heartbeats)
 	if v := s.sync.Current(); v != nil {
@@ -191,7 +199,7 @@
 	s.admin.SetDraining()
 	empty := s.requests.drain()
 	s.loop.post(func(c *control) {
-		c.peers.SetDraining()
+		c.peers.SetDraining(true)
 		c.core.ReleasePools(c.now())
 	})
 	s.log.Info("draining", zap.Int("open_requests", s.requests.count()), zap.Duration("limit", s.settings.drain()))
