--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -57,9 +57,10 @@
 
 // InitialState is the durable state that a replica starts from.
 //
-// The first replicas of a cluster start with equal snapshots that hold the
-// first membership, at index 0 or above. A replica that joins later starts
-// with no state at all and receives everything from the leader.
+// The first replicas of a cluster start with equal snapshots of the empty state
+// that hold the first membership, at index 1 and term 1. A replica that joins
+// later starts with no state at all. It then always receives a snapshot, and
+// with it the membership, before any entry.
 type InitialState struct {
 	// HardState may be nil.
 	HardState *wirepb.HardState
--- /dev/null
+++ b/internal/raft/membership.go
@@ -0,0 +1,252 @@
+package raft
+
+import (
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"bilberryhub/internal/invariant"
+	"bilberryhub/internal/wirepb"
+)
+
+// membershipAt is a membership and the log index that set it.
+type membershipAt struct {
+	index uint64
+	m     *wirepb.Membership
+}
+
+// membership returns the membership in force, which is the last one in the log.
+func (n *Node) membership() *wirepb.Membership { return n.memberships[len(n.memberships)-1].m }
+
+func (n *Node) membershipIndex() uint64 { return n.memberships[len(n.memberships)-1].index }
+
+func (n *Node) membershipPending() bool { return n.membershipIndex() > n.commit }
+
+// MembershipAt returns the membership at an index that is not below the last
+// snapshot. The caller must not change it.
+func (n *Node) MembershipAt(index uint64) *wirepb.Membership {
+	for i := len(n.memberships) - 1; i > 0; i-- {
+		if n.memberships[i].index <= index {
+			return n.memberships[i].m
+		}
+	}
+	return n.memberships[0].m
+}
+
+// ProposeMembership appends one membership change. It requires that an entry
+// of the leader's own term is committed and that no earlier change is pending.
+func (n *Node) ProposeMembership(c Change, now time.Duration) (index, term uint64, err error) {
+	n.observe(now)
+	if err := n.mayChangeMembership(); err != nil {
+		return 0, 0, errors.Trace(err)
+	}
+	next, err := n.changed(c)
+	if err != nil {
+		return 0, 0, errors.Trace(err)
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
+	if err != nil {
+		return 0, 0, errors.Annotate(err, "encode membership")
+	}
+	e := n.appendOwn(wirepb.LogEntry_KIND_MEMBERSHIP, data)
+	n.broadcastAppend()
+	return e.Index, e.Term, nil
+}
+
+func (n *Node) mayChangeMembership() error {
+	switch {
+	case n.role != Leader:
+		return ErrNotLeader{Leader: n.leader}
+	case n.transfer.to != "":
+		return ErrTransferring
+	case n.commit < n.termStart:
+		return ErrTermNotCommitted
+	case n.membershipPending():
+		return ErrChangePending
+	}
+	return nil
+}
+
+// changed returns the membership after one change. No change alters the set of
+// voters by more than one replica.
+func (n *Node) changed(c Change) (*wirepb.Membership, error) {
+	next := proto.CloneOf(n.membership())
+	var err error
+	switch c.Kind {
+	case AddLearner:
+		err = n.addLearner(next, c.Replica)
+	case Promote:
+		err = n.promote(next, c.ID)
+	case Remove:
+		err = n.retire(next, c.ID)
+	case Replace:
+		if err = n.retire(next, c.ID); err == nil {
+			err = n.addLearner(next, c.Replica)
+		}
+	default:
+		err = ErrInvalidChange{ID: c.ID, Reason: "unknown kind"}
+	}
+	if err == nil && !n.reachesQuorum(next) {
+		err = ErrInvalidChange{ID: c.ID, Reason: "the voters in contact would not make a quorum"}
+	}
+	return next, err
+}
+
+// reachesQuorum reports whether a quorum of the membership is in contact, so
+// that a change doesn't cost the quorum that is to commit it.
+func (n *Node) reachesQuorum(m *wirepb.Membership) bool {
+	count := 0
+	for _, r := range m.Voters {
+		p := n.peers[r.Id]
+		if r.Id == n.cfg.ID || (p != nil && p.answered && n.now-p.contact < n.leaseDuration()) {
+			count++
+		}
+	}
+	return count > len(m.Voters)/2
+}
+
+func (n *Node) addLearner(m *wirepb.Membership, r *wirepb.Replica) error {
+	id := r.GetId()
+	switch {
+	case id == "":
+		return ErrInvalidChange{ID: id, Reason: "empty id"}
+	case isMember(m, id):
+		return ErrInvalidChange{ID: id, Reason: "already a member"}
+	case !n.off.retired && slices.Contains(m.Retired, id):
+		return ErrInvalidChange{ID: id, Reason: "identity is retired"}
+	}
+	m.Learners = append(m.Learners, proto.CloneOf(r))
+	return nil
+}
+
+// promote requires that the learner has synced every committed entry. The
+// quorums of the enlarged set then lose no committed entry and no liveness if
+// another replica is lost right after the change.
+func (n *Node) promote(m *wirepb.Membership, id string) error {
+	i := indexOf(m.Learners, id)
+	if i < 0 {
+		return ErrInvalidChange{ID: id, Reason: "not a learner"}
+	}
+	if match := n.peers[id].match; match < n.commit && !n.off.learnerSync {
+		return ErrLearnerBehind{ID: id, Match: match, Commit: n.commit}
+	}
+	m.Voters = append(m.Voters, m.Learners[i])
+	m.Learners = slices.Delete(m.Learners, i, i+1)
+	return nil
+}
+
+func (n *Node) retire(m *wirepb.Membership, id string) error {
+	switch {
+	case id == n.cfg.ID:
+		return ErrInvalidChange{ID: id, Reason: "the leader must hand over before it is removed"}
+	case !isMember(m, id):
+		return ErrInvalidChange{ID: id, Reason: "not a member"}
+	}
+	byID := func(r *wirepb.Replica) bool { return r.Id == id }
+	m.Voters = slices.DeleteFunc(m.Voters, byID)
+	m.Learners = slices.DeleteFunc(m.Learners, byID)
+	m.Retired = append(m.Retired, id)
+	return nil
+}
+
+// adoptMembership puts the membership of a newly appended entry in force.
+func (n *Node) adoptMembership(e *wirepb.LogEntry) {
+	m, err := decodeMembership(e.Data)
+	invariant.Must(err == nil, "raft_membership_valid", "entry %d: %v", e.Index, err)
+	n.memberships = append(n.memberships, membershipAt{index: e.Index, m: m})
+	n.syncPeers()
+}
+
+// revertMembership drops the memberships of truncated entries.
+func (n *Node) revertMembership(from uint64) {
+	n.memberships = slices.DeleteFunc(n.memberships, func(c membershipAt) bool { return c.index >= from })
+	invariant.Must(len(n.memberships) > 0, "raft_membership_known", "no membership before index %d", from)
+}
+
+// pruneMemberships forgets the memberships that were replaced at or before index.
+func (n *Node) pruneMemberships(index uint64) {
+	for len(n.memberships) > 1 && n.memberships[1].index <= index {
+		n.memberships = n.memberships[1:]
+	}
+}
+
+func (n *Node) isVoter(id string) bool { return indexOf(n.membership().Voters, id) >= 0 }
+
+// isRetired follows committed changes only: a retirement that is not committed
+// may still be undone.
+func (n *Node) isRetired(id string) bool {
+	return !n.off.retired && slices.Contains(n.MembershipAt(n.commit).Retired, id)
+}
+
+// quorum is the number of voters that make a majority.
+func (n *Node) quorum() int { return len(n.membership().Voters)/2 + 1 }
+
+// countVoters counts the voters of the membership in force that satisfy pred.
+func (n *Node) countVoters(pred func(id string) bool) int {
+	count := 0
+	for _, r := range n.membership().Voters {
+		if pred(r.Id) {
+			n.mustCount(r.Id)
+			count++
+		}
+	}
+	return count
+}
+
+// mustCount asserts that a replica may count toward a quorum.
+func (n *Node) mustCount(id string) {
+	m := n.membership()
+	invariant.Must(indexOf(m.Learners, id) < 0, "raft_learner_not_counted", "learner %q counted", id)
+	invariant.Must(!slices.Contains(m.Retired, id), "raft_retired_not_counted", "retired %q counted", id)
+}
+
+func indexOf(rs []*wirepb.Replica, id string) int {
+	return slices.IndexFunc(rs, func(r *wirepb.Replica) bool { return r.GetId() == id })
+}
+
+func isMember(m *wirepb.Membership, id string) bool {
+	return indexOf(m.Voters, id) >= 0 || indexOf(m.Learners, id) >= 0
+}
+
+func decodeMembership(data []byte) (*wirepb.Membership, error) {
+	m := new(wirepb.Membership)
+	if err := proto.Unmarshal(data, m); err != nil {
+		return nil, errors.Annotate(err, "decode membership")
+	}
+	return m, errors.Trace(validateMembership(m))
+}
+
+func validateMembership(m *wirepb.Membership) error {
+	if len(m.GetVoters()) == 0 {
+		return errors.NotValidf("membership without voters")
+	}
+	seen := make(map[string]bool)
+	check := func(id string) error {
+		if id == "" || seen[id] {
+			return errors.NotValidf("membership with empty or repeated id %q", id)
+		}
+		seen[id] = true
+		return nil
+	}
+	for _, r := range slices.Concat(m.Voters, m.Learners) {
+		if err := check(r.GetId()); err != nil {
+			return err
+		}
+	}
+	for _, id := range m.Retired {
+		if err := check(id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func ids(rs []*wirepb.Replica) []string {
+	out := make([]string, 0, len(rs))
+	for _, r := range rs {
+		out = append(out, r.GetId())
+	}
+	return out
+}
