Add the state process: consensus, log and state machine as a server

Cause: entry processes need one configuration, claims and fencing numbers that are the same everywhere.

Change: package stateserver runs the consensus core and the state machine in one goroutine and the disk in another, forms the first replica set through one coordinator, and serves subscriptions, proposals, queries, joins and dumps. cmd/bilberry-state runs it from a settings file with a schema.

--- /dev/null
+++ b/cmd/bilberry-state/main.go
@@ -0,0 +1,56 @@
+// Command bilberry-state runs one replica of the replicated state.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/observe"
+	"bilberryhub/internal/settings"
+	"bilberryhub/internal/stateserver"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "bilberry-state:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	flags := settings.Register(flag.CommandLine)
+	flag.Parse()
+	if flags.Version {
+		settings.PrintVersion(os.Stdout, "bilberry-state")
+		return nil
+	}
+	set, err := stateserver.LoadSettings(flags.Config)
+	if err != nil || flags.Check {
+		return errors.Trace(err)
+	}
+	log, err := observe.NewLogger("bilberry-state", set.ID, set.LogLevel)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = log.Sync() }()
+	server, err := stateserver.Start(set, stateserver.Options{}, log)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case sig := <-stop:
+		log.Info("stopping", zap.Stringer("signal", sig))
+		return errors.Trace(server.Stop())
+	case <-server.Failed():
+		_ = server.Close()
+		return errors.Trace(server.Err())
+	}
+}
--- /dev/null
+++ b/internal/stateserver/cluster_test.go
@@ -0,0 +1,244 @@
+package stateserver
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/wire"
+	"bilberryhub/internal/wirepb"
+)
+
+// patience bounds every wait, generously for a slow machine.
+const patience = 60 * time.Second
+
+// cluster runs replicas in this process, connected over loopback through
+// dialers that the test can cut.
+type cluster struct {
+	t        testing.TB
+	dir      string
+	replicas []ReplicaConfig
+	entries  uint64
+	servers  map[string]*Server
+
+	mu    sync.Mutex
+	cut   map[string]bool // "from>to"
+	conns map[string][]net.Conn
+}
+
+func newCluster(t testing.TB, size int) *cluster {
+	c := &cluster{
+		t: t, dir: t.TempDir(), entries: 1 << 40,
+		servers: map[string]*Server{}, cut: map[string]bool{}, conns: map[string][]net.Conn{},
+	}
+	for i := range size {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.replicas = append(c.replicas, ReplicaConfig{
+			Name: fmt.Sprintf("state-%c", 'a'+i), Address: l.Addr().String(), FailureDomain: fmt.Sprintf("domain-%c", 'a'+i),
+		})
+		_ = l.Close()
+	}
+	t.Cleanup(func() {
+		for _, s := range c.servers {
+			_ = s.Close()
+		}
+	})
+	return c
+}
+
+func (c *cluster) startAll() {
+	for _, r := range c.replicas {
+		c.start(r.Name)
+	}
+}
+
+func (c *cluster) start(name string) *Server {
+	c.t.Helper()
+	set := Settings{
+		ID: name, AdminListen: "127.0.0.1:0", DataDir: filepath.Join(c.dir, name), Replicas: c.replicas,
+		LogLevel: "info", SnapshotEntries: c.entries,
+	}
+	r, _ := set.replica(name)
+	set.Listen, set.FailureDomain = r.Address, r.FailureDomain
+	s, err := Start(set, Options{Dial: c.dialer(name)}, c.logger(name))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.servers[name] = s
+	return s
+}
+
+func (c *cluster) logger(name string) *zap.Logger {
+	if os.Getenv("BILBERRY_TEST_LOG") == "" {
+		return zap.NewNop()
+	}
+	log, _ := zap.NewDevelopment(zap.Fields(zap.String("on", name)))
+	return log
+}
+
+// stop ends a replica without handing over, as a crash does.
+func (c *cluster) stop(name string) {
+	if s := c.servers[name]; s != nil {
+		_ = s.Close()
+		delete(c.servers, name)
+	}
+}
+
+// wipe loses the disk of a stopped replica.
+func (c *cluster) wipe(name string) {
+	c.stop(name)
+	if err := os.RemoveAll(filepath.Join(c.dir, name)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) nameAt(address string) string {
+	for _, r := range c.replicas {
+		if r.Address == address {
+			return r.Name
+		}
+	}
+	return address
+}
+
+func (c *cluster) dialer(from string) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		link := from + ">" + c.nameAt(address)
+		c.mu.Lock()
+		cut := c.cut[link]
+		c.mu.Unlock()
+		if cut {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: errors.New("link is cut")}
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil {
+			c.mu.Lock()
+			c.conns[link] = append(c.conns[link], conn)
+			c.mu.Unlock()
+		}
+		return conn, err
+	}
+}
+
+// isolate cuts a replica off from the others, or connects it again.
+func (c *cluster) isolate(name string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.replicas {
+		for _, link := range []string{name + ">" + r.Name, r.Name + ">" + name} {
+			c.cut[link] = cut
+			for _, conn := range c.conns[link] {
+				_ = conn.Close()
+			}
+			delete(c.conns, link)
+		}
+	}
+}
+
+// await polls until the condition holds.
+func (c *cluster) await(what string, cond func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !cond() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (c *cluster) status(name string) loopDump {
+	c.t.Helper()
+	v, err := c.servers[name].dump()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return v.(serverDump).loopDump
+}
+
+// leader waits for a leader with a valid lease and returns its name.
+func (c *cluster) leader() string {
+	c.t.Helper()
+	var leader string
+	c.await("a leader with a valid lease", func() bool {
+		for name := range c.servers {
+			if c.status(name).Raft.LeaseValid {
+				leader = name
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// others returns the running replicas besides name.
+func (c *cluster) others(name string) []string {
+	var out []string
+	for _, r := range c.replicas {
+		if r.Name != name && c.servers[r.Name] != nil {
+			out = append(out, r.Name)
+		}
+	}
+	return out
+}
+
+func (c *cluster) client(name string) *wire.Client {
+	r, _ := (&Settings{Replicas: c.replicas}).replica(name)
+	client := wire.NewClient(r.Address, wire.Options{Self: wire.Identity{Kind: wire.KindEntry, ID: "entry-test"}})
+	c.t.Cleanup(func() { _ = client.Close() })
+	return client
+}
+
+// propose sends a command to a replica once. The code is that of the failure,
+// or of the result.
+func propose(client *wire.Client, cmd *wirepb.Command) (*wirepb.Result, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	env, err := client.Call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Propose{Propose: &wirepb.Propose{Command: cmd}}})
+	var remote *wire.RemoteError
+	switch {
+	case errors.As(err, &remote):
+		return nil, remote.Code
+	case err != nil:
+		return nil, codeOutcomeUnknown
+	}
+	r := env.GetProposeReply().GetResult()
+	return r, r.GetCode()
+}
+
+// mustPropose repeats a proposal under its id until it is answered.
+func (c *cluster) mustPropose(client *wire.Client, cmd *wirepb.Command) *wirepb.Result {
+	c.t.Helper()
+	var result *wirepb.Result
+	c.await("answer to proposal "+cmd.GetId(), func() bool {
+		r, _ := propose(client, cmd)
+		result = r
+		return r != nil
+	})
+	return result
+}
+
+func order(id string, number uint64, out bool) *wirepb.Command {
+	return &wirepb.Command{Id: id, Body: &wirepb.Command_Order{
+		Order: &wirepb.Order{Kind: "failure_domain", Target: "north", Number: number, Out: out},
+	}}
+}
+
+func claim(key, claimID string) *wirepb.Command {
+	return &wirepb.Command{Id: "proposal-" + claimID, Body: &wirepb.Command_Claim{Claim: &wirepb.Claim{
+		Account: "roofs", Key: key, ClaimId: claimID, Entry: "entry-1", BodyHash: []byte(strings.Repeat("h", 32)),
+	}}}
+}
--- /dev/null
+++ b/internal/stateserver/handler.go
@@ -0,0 +1,64 @@
+package stateserver
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"bilberryhub/internal/wire"
+	"bilberryhub/internal/wirepb"
+)
+
+// handle answers one call.
+func (s *Server) handle(ctx context.Context, st *wire.Stream, req *wirepb.Envelope) error {
+	switch body := req.GetBody().(type) {
+	case *wirepb.Envelope_RaftMessage:
+		return s.receive(ctx, st, body.RaftMessage)
+	case *wirepb.Envelope_Subscribe:
+		return s.subscribe(ctx, st, body.Subscribe)
+	case *wirepb.Envelope_Propose:
+		return s.propose(ctx, st, body.Propose)
+	case *wirepb.Envelope_ClaimQuery:
+		return s.queryClaim(ctx, st, body.ClaimQuery)
+	case *wirepb.Envelope_Join:
+		return s.join(ctx, st, body.Join)
+	case *wirepb.Envelope_Dump:
+		return s.sendDump(st)
+	default:
+		return errors.Errorf("call %T is not served by a state process", req.GetBody())
+	}
+}
+
+// receive takes the messages of one stream of another replica.
+func (s *Server) receive(ctx context.Context, st *wire.Stream, m *wirepb.RaftMessage) error {
+	if st.Peer().Kind != wire.KindState {
+		return errors.Errorf("messages of the consensus core from a process of kind %q", st.Peer().Kind)
+	}
+	if m.GetKind() == wirepb.RaftMessage_KIND_SNAPSHOT {
+		if err := receiveChunks(st, m.GetSnapshot()); err != nil {
+			return errors.Trace(err)
+		}
+		s.tell(ctx, received{m: m})
+		return st.Send(wire.AckEnvelope())
+	}
+	for s.tell(ctx, received{m: m}) {
+		env, err := st.Recv()
+		if err != nil {
+			return nil
+		}
+		if m = env.GetRaftMessage(); m == nil {
+			return errors.New("message on a stream of the consensus core is of another kind")
+		}
+	}
+	return nil
+}
+
+// received is a message of another replica.
+type received struct{ m *wirepb.RaftMessage }
+
+func (m received) handle(l *loop) {
+	if l.forming != nil && !l.forming.admits(m.m.GetFrom(), l.s.settings.coordinator()) {
+		return
+	}
+	l.node.Step(m.m, l.now())
+}
--- /dev/null
+++ b/internal/stateserver/metrics.go
@@ -0,0 +1,53 @@
+package stateserver
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"bilberryhub/internal/raft"
+)
+
+// serverMetrics are the metrics of one replica.
+type serverMetrics struct {
+	name          string
+	commitSeconds *metrics.Histogram
+	batchEntries  *metrics.Histogram
+	dropped       *metrics.Counter
+	configsSent   *metrics.Counter
+	snapshots     *metrics.Counter
+	subscribers   *metrics.Gauge
+	applied       *metrics.Gauge
+	configIndex   *metrics.Gauge
+	leader        *metrics.Gauge
+}
+
+func newServerMetrics(name string) *serverMetrics {
+	label := func(metric string) string { return fmt.Sprintf(`bilberry_state_%s{replica=%q}`, metric, name) }
+	gauge := func(metric string) *metrics.Gauge { return metrics.GetOrCreateGauge(label(metric), nil) }
+	return &serverMetrics{
+		name:          name,
+		commitSeconds: metrics.GetOrCreateHistogram(label("commit_seconds")),
+		batchEntries:  metrics.GetOrCreateHistogram(label("batch_entries")),
+		dropped:       metrics.GetOrCreateCounter(label("dropped_messages_total")),
+		configsSent:   metrics.GetOrCreateCounter(label("config_snapshots_sent_total")),
+		snapshots:     metrics.GetOrCreateCounter(label("snapshots_total")),
+		subscribers:   gauge("subscribers"),
+		applied:       gauge("applied_index"),
+		configIndex:   gauge("config_index"),
+		leader:        gauge("is_leader"),
+	}
+}
+
+// proposals counts answered proposals by failure code.
+func (m *serverMetrics) proposals(code string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`bilberry_state_proposals_total{replica=%q,code=%q}`, m.name, code)).Inc()
+}
+
+func (m *serverMetrics) setRole(r raft.Role) {
+	if r == raft.Leader {
+		m.leader.Set(1)
+	} else {
+		m.leader.Set(0)
+	}
+}
--- /dev/null
+++ b/internal/stateserver/settings.go
@@ -0,0 +1,99 @@
+package stateserver
+
+import (
+	_ "embed"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"bilberryhub/internal/settings"
+	"bilberryhub/internal/wirepb"
+)
+
+//go:embed settings.json
+var settingsSchema []byte
+
+// defaultSnapshotEntries bounds what a restart applies again. One million
+// entries are read in under a second, so that a tenth of it is not noticed.
+const defaultSnapshotEntries = 100_000
+
+// Settings configure a state process.
+type Settings struct {
+	ID            string          `json:"id"`
+	FailureDomain string          `json:"failure_domain"`
+	Listen        string          `json:"listen"`
+	AdminListen   string          `json:"admin_listen"`
+	DataDir       string          `json:"data_dir"`
+	Replicas      []ReplicaConfig `json:"replicas"`
+	TLS           *settings.TLS   `json:"tls"`
+	LogLevel      string          `json:"log_level"`
+	// SnapshotEntries is the number of applied entries between two snapshots.
+	SnapshotEntries uint64 `json:"snapshot_entries"`
+}
+
+// ReplicaConfig names one replica of the initial set.
+type ReplicaConfig struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// LoadSettings reads and checks the settings file at path.
+func LoadSettings(path string) (Settings, error) {
+	s := Settings{LogLevel: "info", SnapshotEntries: defaultSnapshotEntries}
+	if err := settings.Load(path, settingsSchema, &s); err != nil {
+		return s, errors.Trace(err)
+	}
+	return s, errors.Annotatef(s.check(), "settings %s", path)
+}
+
+// check covers what the schema cannot express.
+func (s *Settings) check() error {
+	names := map[string]bool{}
+	for i, r := range s.Replicas {
+		if names[r.Name] {
+			return errors.Errorf("at /replicas/%d/name: %q is listed twice", i, r.Name)
+		}
+		names[r.Name] = true
+		if _, err := netip.ParseAddrPort(r.Address); err != nil {
+			return errors.Errorf("at /replicas/%d/address: %v", i, err)
+		}
+	}
+	if !names[s.ID] {
+		return errors.Errorf("at /id: %q is not among the replicas", s.ID)
+	}
+	for path, a := range map[string]string{"/listen": s.Listen, "/admin_listen": s.AdminListen} {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return errors.Errorf("at %s: %v", path, err)
+		}
+	}
+	return nil
+}
+
+func (s *Settings) replica(name string) (ReplicaConfig, bool) {
+	i := slices.IndexFunc(s.Replicas, func(r ReplicaConfig) bool { return r.Name == name })
+	if i < 0 {
+		return ReplicaConfig{}, false
+	}
+	return s.Replicas[i], true
+}
+
+// coordinator is the replica that decides on the initial replica set.
+func (s *Settings) coordinator() string {
+	return slices.MinFunc(s.Replicas, func(a, b ReplicaConfig) int { return strings.Compare(a.Name, b.Name) }).Name
+}
+
+// replicaID joins the name of a replica and the identity of its disk.
+func replicaID(name, identity string) string { return name + "/" + identity }
+
+// nameOf returns the name in a replica id.
+func nameOf(id string) string {
+	name, _, _ := strings.Cut(id, "/")
+	return name
+}
+
+func (r ReplicaConfig) withID(id string) *wirepb.Replica {
+	return &wirepb.Replica{Id: id, Address: r.Address, FailureDomain: r.FailureDomain}
+}
--- /dev/null
+++ b/internal/stateserver/subscribe.go
@@ -0,0 +1,199 @@
+package stateserver
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"bilberryhub/internal/invariant"
+	"bilberryhub/internal/raft"
+	"bilberryhub/internal/wire"
+	"bilberryhub/internal/wirepb"
+)
+
+const (
+	// configHeartbeatInterval is the time between two ConfigHeartbeats.
+	configHeartbeatInterval = 500 * time.Millisecond
+	// confirmationLifetime is how long a heartbeat of the leader confirms the
+	// configuration here: two intervals, so that one late heartbeat does not
+	// end it. Subscribers call a configuration stale after 3 s.
+	confirmationLifetime = 2 * configHeartbeatInterval
+	// leadershipLifetime is how long the loop's last look at the lease counts.
+	// A loop that stalls for longer makes the replica not fresh.
+	leadershipLifetime = 10 * tickInterval
+)
+
+// publication is a configuration that subscribers may read.
+type publication struct {
+	config *wirepb.ConfigSnapshot
+	// changed is closed when a newer publication exists.
+	changed chan struct{}
+}
+
+// publish hands the configuration in force to the subscribers.
+func (l *loop) publish() {
+	config := l.machine.Config()
+	old := l.s.published.Load()
+	if old != nil && old.config == config {
+		return
+	}
+	if old != nil {
+		invariant.Must(config.GetIndex() >= old.config.GetIndex(), "stateserver_config_never_reverts",
+			"config index %d after %d", config.GetIndex(), old.config.GetIndex())
+	}
+	l.s.published.Store(&publication{config: config, changed: make(chan struct{})})
+	l.s.metrics.configIndex.Set(float64(config.GetIndex()))
+	if old != nil {
+		close(old.changed)
+	}
+}
+
+// freshness records the proofs that the configuration here is in force.
+type freshness struct {
+	mu sync.Mutex
+	// checked is when the loop last looked; leads tells whether it held a valid
+	// lease then, and contact is the age of the last contact with the leader.
+	checked time.Duration
+	leads   bool
+	contact time.Duration
+	leader  string
+	// confirmed is the last heartbeat that the leader sent with a valid lease.
+	confirmed       time.Duration
+	confirmedBy     string
+	confirmedConfig uint64
+	hasConfirmation bool
+}
+
+// publishLeadership lets other goroutines know of the lease and the leader.
+func (l *loop) publishLeadership(now time.Duration) {
+	leader, age := l.node.LeaderContact(now)
+	if age < 0 {
+		leader, age = "", math.MaxInt64
+	}
+	role := raft.Follower
+	if leader == l.s.id {
+		role = raft.Leader
+	}
+	if role != l.role {
+		l.role = role
+		l.s.metrics.setRole(role)
+		l.log.Info("role changed to " + string(role))
+	}
+	f := &l.s.freshness
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.checked, f.leads, f.contact, f.leader = now, l.node.LeaseValid(now), age, leader
+	l.s.leader.Store(&leader)
+}
+
+// fresh reports whether the configuration here is proven to be in force: by
+// the own lease, or by recent contact with the leader together with a recent
+// heartbeat of it that shows its lease and no newer configuration.
+func (s *Server) fresh() bool {
+	index := s.published.Load().config.GetIndex()
+	f := &s.freshness
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := s.opts.Now()
+	switch {
+	case f.checked == 0 || now-f.checked > leadershipLifetime:
+		return false
+	case f.leads:
+		return true
+	case f.contact > leaseDuration || !f.hasConfirmation || f.confirmedBy != f.leader:
+		return false
+	}
+	return now-f.confirmed <= confirmationLifetime && index >= f.confirmedConfig
+}
+
+// confirmFromLeader keeps a subscription to the leader for its heartbeats.
+func (s *Server) confirmFromLeader(ctx context.Context) {
+	for sleep(ctx, leaderPoll) {
+		leader := s.leader.Load()
+		if leader == nil || *leader == "" || *leader == s.id {
+			continue
+		}
+		address, ok := s.peers.address(*leader)
+		if !ok {
+			continue
+		}
+		s.followLeader(ctx, *leader, address)
+	}
+}
+
+// followLeader records the heartbeats of one leader until it changes.
+func (s *Server) followLeader(ctx context.Context, leader, address string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// The highest index asks for heartbeats only.
+	st, err := s.clients.get(address).Open(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Subscribe{
+		Subscribe: &wirepb.Subscribe{KnownIndex: math.MaxUint64},
+	}})
+	if err != nil {
+		return
+	}
+	defer st.Close()
+	for *s.leader.Load() == leader {
+		// A leader that is silent is replaced; the timer ends the wait for it.
+		timer := time.AfterFunc(confirmationLifetime, cancel)
+		env, err := st.Recv()
+		timer.Stop()
+		if err != nil || st.Peer().ID != leader {
+			return
+		}
+		if hb := env.GetConfigHeartbeat(); hb.GetFresh() {
+			f := &s.freshness
+			f.mu.Lock()
+			f.confirmed, f.confirmedBy, f.confirmedConfig, f.hasConfirmation = s.opts.Now(), leader, hb.GetIndex(), true
+			f.mu.Unlock()
+		}
+	}
+}
+
+// subscribe answers a Subscribe call. A subscriber that is slow or was away
+// gets the latest configuration only.
+func (s *Server) subscribe(ctx context.Context, st *wire.Stream, sub *wirepb.Subscribe) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// The subscriber sends nothing more, so the end of its side of the stream
+	// is the end of the subscription.
+	go func() {
+		_, _ = st.Recv()
+		cancel()
+	}()
+	s.metrics.subscribers.Inc()
+	defer s.metrics.subscribers.Dec()
+	ticker := time.NewTicker(configHeartbeatInterval)
+	defer ticker.Stop()
+	known, digest := sub.GetKnownIndex(), sub.GetKnownDigest()
+	for {
+		pub := s.published.Load()
+		// A configuration below the known one is never sent, because an
+		// accepted configuration must not revert.
+		if c := pub.config; c.GetIndex() > known || (c.GetIndex() == known && c.GetDigest() != digest) {
+			if err := st.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigSnapshot{ConfigSnapshot: c}}); err != nil {
+				return errors.Trace(err)
+			}
+			known, digest = c.GetIndex(), c.GetDigest()
+			s.metrics.configsSent.Inc()
+		}
+		if err := st.Send(s.heartbeat(pub)); err != nil {
+			return errors.Trace(err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-pub.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) heartbeat(pub *publication) *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_ConfigHeartbeat{ConfigHeartbeat: &wirepb.ConfigHeartbeat{
+		Index: pub.config.GetIndex(), Digest: pub.config.GetDigest(), Fresh: s.fresh(),
+	}}}
+}
--- /dev/null
+++ b/internal/stateserver/transport.go
@@ -0,0 +1,219 @@
+package stateserver
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bilberryhub/internal/wire"
+	"bilberryhub/internal/wirepb"
+)
+
+const (
+	// queueMessages bounds the messages that wait for one replica. The
+	// consensus core sends again what is dropped.
+	queueMessages = 256
+	// Pauses between attempts to reach a replica.
+	reconnectMin = 20 * time.Millisecond
+	reconnectMax = 500 * time.Millisecond
+)
+
+// clients keeps one session for each address.
+type clients struct {
+	opts wire.Options
+	mu   sync.Mutex
+	m    map[string]*wire.Client
+}
+
+func newClients(opts wire.Options) *clients {
+	return &clients{opts: opts, m: map[string]*wire.Client{}}
+}
+
+func (c *clients) get(address string) *wire.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.m[address] == nil {
+		c.m[address] = wire.NewClient(address, c.opts)
+	}
+	return c.m[address]
+}
+
+func (c *clients) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, client := range c.m {
+		_ = client.Close()
+	}
+}
+
+// transport sends messages of the consensus core to other replicas.
+type transport struct {
+	s  *Server
+	wg sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	// addresses of the members, by replica id.
+	addresses map[string]string
+}
+
+// peer is the sending side to one replica.
+type peer struct {
+	t       *transport
+	id      string
+	address string
+	queue   chan *wirepb.RaftMessage
+	// snapshots has room for one, because the core sends one at a time.
+	snapshots chan *wirepb.RaftMessage
+	cancel    context.CancelFunc
+}
+
+func newTransport(s *Server) *transport {
+	return &transport{s: s, peers: map[string]*peer{}, addresses: map[string]string{}}
+}
+
+// send queues messages. It never blocks; a full queue drops the message.
+func (t *transport) send(messages []*wirepb.RaftMessage) {
+	for _, m := range messages {
+		p := t.peer(m.GetTo())
+		if p == nil {
+			t.s.metrics.dropped.Inc()
+			continue
+		}
+		queue := p.queue
+		if m.GetKind() == wirepb.RaftMessage_KIND_SNAPSHOT {
+			queue = p.snapshots
+		}
+		select {
+		case queue <- m:
+		default:
+			t.s.metrics.dropped.Inc()
+		}
+	}
+}
+
+// peer returns the sender to a replica, or nil when its address is not known.
+func (t *transport) peer(id string) *peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[id]; p != nil {
+		return p
+	}
+	address, ok := t.addressLocked(id)
+	if !ok || t.s.ctx.Err() != nil {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(t.s.ctx)
+	p := &peer{
+		t: t, id: id, address: address, queue: make(chan *wirepb.RaftMessage, queueMessages),
+		snapshots: make(chan *wirepb.RaftMessage, 1), cancel: cancel,
+	}
+	t.peers[id] = p
+	t.wg.Go(func() { p.sendMessages(ctx) })
+	t.wg.Go(func() { p.sendSnapshots(ctx) })
+	return p
+}
+
+// address returns the address of a replica. The settings come first: they are
+// what operators change when a replica moves.
+func (t *transport) address(id string) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.addressLocked(id)
+}
+
+func (t *transport) addressLocked(id string) (string, bool) {
+	if r, ok := t.s.settings.replica(nameOf(id)); ok {
+		return r.Address, true
+	}
+	a, ok := t.addresses[id]
+	return a, ok
+}
+
+// retain learns the addresses of the members and ends the senders to replicas
+// that are no members any more.
+func (t *transport) retain(m *wirepb.Membership) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addresses = map[string]string{}
+	for _, r := range slices.Concat(m.GetVoters(), m.GetLearners()) {
+		t.addresses[r.GetId()] = r.GetAddress()
+	}
+	for id, p := range t.peers {
+		if t.addresses[id] == "" {
+			p.cancel()
+			delete(t.peers, id)
+		}
+	}
+}
+
+func (t *transport) wait() { t.wg.Wait() }
+
+type peerDump struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Queued  int    `json:"queued"`
+}
+
+func (t *transport) dump() []peerDump {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]peerDump, 0, len(t.peers))
+	for id, p := range t.peers {
+		out = append(out, peerDump{ID: id, Address: p.address, Queued: len(p.queue)})
+	}
+	slices.SortFunc(out, func(a, b peerDump) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+func raftEnvelope(m *wirepb.RaftMessage) *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_RaftMessage{RaftMessage: m}}
+}
+
+// sendMessages keeps one stream open and sends the queue over it.
+func (p *peer) sendMessages(ctx context.Context) {
+	client := p.t.s.clients.get(p.address)
+	pause := reconnectMin
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-p.queue:
+			st, err := client.Open(ctx, raftEnvelope(m))
+			if err != nil {
+				if !sleep(ctx, pause) {
+					return
+				}
+				pause = min(2*pause, reconnectMax)
+				continue
+			}
+			pause = reconnectMin
+			p.stream(ctx, st)
+		}
+	}
+}
+
+// stream sends messages until the stream fails.
+func (p *peer) stream(ctx context.Context, st *wire.Stream) {
+	defer st.Close()
+	// The peer sends nothing on the stream but its end.
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = st.Recv()
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ended:
+			return
+		case m := <-p.queue:
+			if err := st.Send(raftEnvelope(m)); err != nil {
+				return
+			}
+		}
+	}
+}
--- a/internal/wal/errors.go
+++ b/internal/wal/errors.go
@@ -36,6 +36,9 @@
 // ErrConflictCommitted reports an attempt to replace a committed entry.
 var ErrConflictCommitted = errors.New("entries replace a committed entry")
 
+// ErrSnapshotOutdated reports a snapshot that is not newer than the durable one.
+var ErrSnapshotOutdated = errors.New("snapshot is outdated")
+
 func isDiskFull(err error) bool {
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
 }
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -109,7 +109,7 @@
 		return err
 	}
 	if snap.GetIndex() <= w.snapIndex {
-		return errors.Errorf("snapshot at entry %d is not newer than the one at entry %d", snap.GetIndex(), w.snapIndex)
+		return errors.Annotatef(ErrSnapshotOutdated, "entry %d, durable is entry %d", snap.GetIndex(), w.snapIndex)
 	}
 	if last := w.lastIndex(); !install && snap.GetIndex() > last {
 		return errors.Errorf("snapshot at entry %d is not a prefix of the log, which ends at entry %d", snap.GetIndex(), last)
