Count leases from before a pause of the process

Cause: announcements that waited in the buffers of a paused process would renew leases that another dispatcher already holds. Change: leases count from the previous tick, or from the start of a pause.

--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -35,11 +35,11 @@
 		b.lease = 0
 		return c.reply(0, true)
 	}
-	b.lease = c.now + announce.Lease
+	b.lease = max(b.lease, c.arrival()+announce.Lease)
 	c.takeReport(b, a)
 	c.reconcile(b)
 	c.drainQueue(p)
-	return c.reply(announce.Lease, false)
+	return c.reply(max(0, b.lease-c.now), false)
 }
 
 func (c *Core) reply(lease time.Duration, released bool) announce.Reply {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bilberryhub/internal/announce"
 	"bilberryhub/internal/suspicion"
 	"bilberryhub/internal/wirepb"
 )
@@ -25,6 +26,11 @@
 	// maxConfigAge is the age of the configuration up to which pools of other
 	// failure domains are served.
 	maxConfigAge = 3 * time.Second
+	// stallGap is the time without an event after which the process may have been
+	// paused: announcements that are read now may have waited in its buffers.
+	stallGap = 250 * time.Millisecond
+	// roleStall is the pause after which all leases are dropped.
+	roleStall = time.Second
 )
 
 // Config holds the settings of a Core.
@@ -62,6 +68,12 @@
 	// startedAt is the time of the first event. An earlier incarnation of this
 	// process cannot have granted anything after it.
 	startedAt time.Duration
+	// lastTick bounds when an announcement read now arrived. During settle after a
+	// pause, arrivedAfter is the time before the pause.
+	lastTick     time.Duration
+	ticked       bool
+	arrivedAfter time.Duration
+	settleUntil  time.Duration
 	// The configuration was confirmed configAge before configAgeAt.
 	configAge   time.Duration
 	configAgeAt time.Duration
@@ -86,7 +98,7 @@
 type mechanisms struct {
 	waitingPeriod, leaseCheck, exclusionCheck, expiry, coldBudget  bool
 	aging, fairShare, confinement, suspicion, proving, hold, allOr bool
-	ownWork, gapCheck, foreignOpen                                 bool
+	ownWork, gapCheck, foreignOpen, stall                          bool
 }
 
 // New returns a core without backend servers. It refuses all work until SetView.
@@ -141,6 +153,7 @@
 // Tick runs the systems over all tables. It should be called at least every 50 ms.
 func (c *Core) Tick(now time.Duration) {
 	c.advance(now)
+	c.lastTick, c.ticked = c.now, true
 	c.expireDispatches()
 	c.expireBackends()
 	c.expireEnded()
@@ -161,6 +174,44 @@
 		c.configAgeAt = now
 	}
 	c.now = max(c.now, now)
+	if c.ticked && c.now-c.lastTick > stallGap {
+		c.stalled()
+	}
+}
+
+// stalled handles a pause of the process. Announcements that arrived during the
+// pause count from its start, and after a long pause nothing is granted until
+// the buffers have been read.
+func (c *Core) stalled() {
+	if c.off.stall {
+		return
+	}
+	if c.now >= c.settleUntil {
+		c.arrivedAfter = c.lastTick
+	}
+	gap := c.now - c.lastTick
+	c.lastTick, c.settleUntil = c.now, c.now+announce.MaxDelay
+	if gap <= roleStall {
+		return
+	}
+	for _, p := range c.poolOrder {
+		for _, b := range p.order {
+			b.lease = 0
+			b.waitUntil = max(b.waitUntil, c.settleUntil)
+		}
+	}
+}
+
+// arrival returns the earliest time at which an announcement read now may have
+// arrived. Leases count from it.
+func (c *Core) arrival() time.Duration {
+	switch {
+	case !c.ticked || c.off.stall:
+		return c.now
+	case c.now < c.settleUntil:
+		return c.arrivedAfter
+	}
+	return c.lastTick
 }
 
 // mayServe tells whether new work may be granted in a failure domain, and why not.
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -228,7 +228,8 @@
 		case d.req.EntryIncarnation < m.Incarnation:
 			d.lost = true
 		case held[d.id]:
-			d.missing = 0
+			// Also after a wrong report that the entry process was lost.
+			d.missing, d.lost = 0, false
 		case d.state >= stateStarted:
 			d.missing++
 			if d.missing >= missingLists {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -58,12 +58,17 @@
 	self Peer
 	rows map[string]*row
 	// hints are processes that others know, by id, for connecting to them.
-	hints map[string]Peer
+	hints map[string]hint
+}
+
+type hint struct {
+	peer Peer
+	at   time.Duration
 }
 
 // New returns a table that knows only the process itself.
 func New(self Peer) *Table {
-	return &Table{self: self, rows: map[string]*row{}, hints: map[string]Peer{}}
+	return &Table{self: self, rows: map[string]*row{}, hints: map[string]hint{}}
 }
 
 // SetDraining tells that the process itself is stopping.
@@ -81,7 +86,7 @@
 		return nil
 	}
 	for _, k := range m.Known {
-		t.hint(k)
+		t.hint(now, k)
 	}
 	p := fromInfo(m.Self)
 	p.ConfigIndex, p.ConfigDigest = m.ConfigIndex, m.ConfigDigest
@@ -112,6 +117,11 @@
 			delete(t.rows, id)
 		}
 	}
+	for id, h := range t.hints {
+		if now-h.at >= forgetAfter {
+			delete(t.hints, id)
+		}
+	}
 	slices.SortFunc(lost, func(x, y Lost) int { return strings.Compare(x.ID, y.ID) })
 	return lost
 }
@@ -153,9 +163,9 @@
 // Unheard returns processes that others know and that send no heartbeat here.
 func (t *Table) Unheard() []Peer {
 	var out []Peer
-	for id, p := range t.hints {
+	for id, h := range t.hints {
 		if r := t.rows[id]; r == nil || !r.live {
-			out = append(out, p)
+			out = append(out, h.peer)
 		}
 	}
 	slices.SortFunc(out, func(x, y Peer) int { return strings.Compare(x.ID, y.ID) })
@@ -193,11 +203,11 @@
 	return xxhash.Sum64String(domain + "\x00" + service + "\x00" + id)
 }
 
-func (t *Table) hint(m *wirepb.PeerInfo) {
-	if m.Id == "" || m.Id == t.self.ID || m.Incarnation < t.hints[m.Id].Incarnation {
+func (t *Table) hint(now time.Duration, m *wirepb.PeerInfo) {
+	if m.Id == "" || m.Id == t.self.ID || m.Incarnation < t.hints[m.Id].peer.Incarnation {
 		return
 	}
-	t.hints[m.Id] = fromInfo(m)
+	t.hints[m.Id] = hint{fromInfo(m), now}
 }
 
 func fromInfo(m *wirepb.PeerInfo) Peer {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,6 +26,8 @@
 	freshSummary = 3 * time.Second
 	// dropSummary is the age after which a pool counts as unreachable.
 	dropSummary = 10 * time.Second
+	// forgetSummary is the age after which a summary is dropped from the table.
+	forgetSummary = 10 * time.Minute
 	// margin and marginShare are how much better, absolutely and relative to the
 	// own wait, another pool must be. Waits fluctuate by about this much.
 	margin      = 50 * time.Millisecond
@@ -105,6 +107,12 @@
 			(m.Incarnation == old.incarnation && s.Sequence <= old.msg.Sequence)) {
 			continue
 		}
+		for sender, x := range p.summaries {
+			// Kept for long, so that a delayed summary of an older incarnation loses.
+			if t.now-x.at >= forgetSummary {
+				delete(p.summaries, sender)
+			}
+		}
 		p.summaries[m.Sender] = &summary{msg: s, incarnation: m.Incarnation, at: t.now}
 		p.sent = slices.DeleteFunc(p.sent, func(x sent) bool { return x.at < t.now-summaryDelay })
 	}
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -3,8 +3,8 @@
 //
 // A request that crashes each backend server that runs it is sent again by its
 // caller and would take down the fleet. Each crash is evidence against the
-// requests that ran there. The evidence is a set of facts, so that broadcasts
-// that arrive twice, late or in another order lead to the same counts at every
+// requests that ran there. The crashes form a set, so that broadcasts of them that
+// arrive twice, late or in another order lead to the same counts at every
 // dispatcher.
 package suspicion
 
