--- a/cmd/bilberry-standin/main.go
+++ b/cmd/bilberry-standin/main.go
@@ -9,25 +9,23 @@
 	"syscall"
 
 	"bilberryhub/internal/observe"
+	"bilberryhub/internal/settings"
 	"bilberryhub/internal/standin"
 
 	"github.com/juju/errors"
 )
 
-// version is set by the linker.
-var version = "dev"
+const name = "bilberry-standin"
 
 func main() {
-	config := flag.String("config", "", "settings file (JSON)")
-	check := flag.Bool("check", false, "validate the settings and exit")
-	showVersion := flag.Bool("version", false, "print the version and exit")
+	flags := settings.Register(flag.CommandLine)
 	flag.Parse()
-	if *showVersion {
-		fmt.Println("bilberry-standin", version)
+	if flags.Version {
+		settings.PrintVersion(os.Stdout, name)
 		return
 	}
-	if err := run(*config, *check); err != nil {
-		fmt.Fprintln(os.Stderr, "bilberry-standin:", err)
+	if err := run(flags.Config, flags.Check); err != nil {
+		fmt.Fprintln(os.Stderr, name+":", err)
 		os.Exit(1)
 	}
 }
@@ -37,7 +35,7 @@
 	if err != nil || check {
 		return errors.Trace(err)
 	}
-	log, err := observe.NewLogger("bilberry-standin", s.Instances[0].ID, s.LogLevel)
+	log, err := observe.NewLogger(name, s.Instances[0].ID, s.LogLevel)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -19,6 +19,7 @@
 // loadState is the load of a backend server at one moment.
 type loadState struct {
 	at      time.Time
+	seq     uint64
 	open    []string
 	memory  uint64
 	prefill uint64
@@ -67,6 +68,7 @@
 	a.fallback = int(a.rng.Uint64N(uint64(len(in.cfg.Entries))))
 	a.target = in.cfg.Entries[a.fallback]
 	a.report = b.load()
+	a.reportN, a.report.seq = 1, 1
 	a.done.Go(func() { a.run(ctx) })
 	return a
 }
@@ -109,12 +111,14 @@
 // Lost reports and events leave gaps.
 func (a *announcer) observe() {
 	m := a.in.cfg.Model
-	a.reports = append(a.reports, a.boot.load())
+	taken := a.boot.load()
+	a.reportN++
+	taken.seq = a.reportN
+	a.reports = append(a.reports, taken)
 	due := time.Now().Add(-millis(m.ReportDelayMS))
 	for len(a.reports) > 0 && !a.reports[0].at.After(due) {
 		next := a.reports[0]
 		a.reports = a.reports[1:]
-		a.reportN++
 		for _, e := range next.events {
 			if a.rng.Float64() >= m.EventDrop {
 				a.events = append(a.events, e)
@@ -136,7 +140,7 @@
 		ColdLimitRequests: c.ColdLimitRequests, ChecksFencing: c.ChecksFencing,
 		Leaving: a.in.faults.get().Leaving, Sequence: a.sequence,
 		Load: announce.Load{
-			AgeMS: uint64(time.Since(a.report.at).Milliseconds()), Sequence: max(1, a.reportN),
+			AgeMS: uint64(time.Since(a.report.at).Milliseconds()), Sequence: a.report.seq,
 			Open: a.report.open, MemoryUsedTokens: a.report.memory, PrefillTokens: a.report.prefill,
 			Cold: a.report.cold, CacheEvents: a.events,
 		},
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -129,6 +129,7 @@
 	if id == "" {
 		id = uuid.NewString()
 	}
+	w.Header().Set(openai.HeaderRequestID, id)
 	text := body.Text()
 	tokens := openai.Tokens(text)
 	if h := hr.Header.Get(openai.HeaderPromptTokens); h != "" && b.in.cfg.Model.AllowPromptTokensHeader {
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -1,15 +1,20 @@
 package standin
 
 import (
+	_ "embed"
 	"encoding/json"
 	"os"
 	"time"
 
 	"bilberryhub/internal/announce"
+	"bilberryhub/internal/settings"
 
 	"github.com/juju/errors"
 )
 
+//go:embed settings.schema.json
+var schema []byte
+
 // Settings configure one process.
 type Settings struct {
 	// TimeScale multiplies every time of the model: 0.1 is ten times faster
@@ -114,7 +119,8 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "read settings")
 	}
-	return ParseSettings(b)
+	s, err := ParseSettings(b)
+	return s, errors.Annotatef(err, "settings %s", path)
 }
 
 // ParseSettings decodes settings, fills in defaults and checks them.
@@ -128,8 +134,8 @@
 		} `json:"instances"`
 	}
 	s := &Settings{TimeScale: 1, Seed: 1, LogLevel: "info"}
-	if err := json.Unmarshal(b, s); err != nil {
-		return nil, errors.Annotate(err, "decode settings")
+	if err := settings.Decode(b, schema, s); err != nil {
+		return nil, errors.Trace(err)
 	}
 	if err := json.Unmarshal(b, &layers); err != nil {
 		return nil, errors.Annotate(err, "decode settings")
@@ -153,31 +159,16 @@
 			return nil, errors.Trace(err)
 		}
 	}
-	return s, errors.Trace(s.check())
-}
-
-func (s *Settings) check() error {
-	if s.TimeScale <= 0 {
-		return errors.New("settings: time_scale is not positive")
-	}
-	if len(s.Instances) == 0 {
-		return errors.New("settings: instances is empty")
-	}
-	return nil
+	return s, nil
 }
 
+// check covers what depends on the kind of the instance.
 func (in *InstanceSettings) check() error {
 	switch {
-	case in.ID == "" || in.Listen == "" || in.FailureDomain == "" || in.Service == "":
-		return errors.Errorf("instance %q: id, listen, failure_domain and service are required", in.ID)
 	case in.Kind == announce.KindModel && len(in.Models) == 0:
 		return errors.Errorf("instance %s: models is empty", in.ID)
 	case in.Kind == announce.KindPlain && in.PathPrefix == "":
 		return errors.Errorf("instance %s: path_prefix is empty", in.ID)
-	case in.Kind != announce.KindModel && in.Kind != announce.KindPlain:
-		return errors.Errorf("instance %s: kind %q is neither model nor plain", in.ID, in.Kind)
-	case in.Model.ChunkTokens <= 0 || in.Model.MaxBatch <= 0 || in.Model.PrefillTokensPerSecond <= 0:
-		return errors.Errorf("instance %s: chunk_tokens, max_batch and prefill_tokens_per_second must be positive", in.ID)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/standin/transfer_test.go
@@ -0,0 +1,127 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bilberryhub/internal/openai"
+
+	"go.uber.org/zap"
+)
+
+func startEngine(t *testing.T, input string) *Instance {
+	t.Helper()
+	in := NewInstance(settingsFor(t, "model", input), 0.01, 1, zap.NewNop())
+	if err := in.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(in.Stop)
+	return in
+}
+
+// prefill sends a completion with kv_transfer_params and returns the response.
+func prefill(t *testing.T, in *Instance, prompt string, kv *openai.KVTransfer) (int, *openai.Response) {
+	t.Helper()
+	body, _ := json.Marshal(&openai.Request{Model: "m", Prompt: prompt, MaxTokens: 3, KVTransferParams: kv})
+	resp, err := http.Post("http://"+in.Address()+openai.CompletionPath, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	doc := &openai.Response{}
+	if err := json.NewDecoder(resp.Body).Decode(doc); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, doc
+}
+
+// eventually polls until the stats meet the condition.
+func eventually(t *testing.T, in *Instance, what string, met func(*StatsDocument) bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !met(in.Stats()); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not reached: %+v", what, in.Stats())
+		}
+	}
+}
+
+func empty(d *StatsDocument) bool { return d.Exports == 0 && d.ReservedTokens == 0 }
+
+func closeIdle(t *testing.T) {
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		peerClient.CloseIdleConnections()
+	})
+}
+
+// Guards against an import that leaves the memory of the exporter reserved.
+func TestImportReleasesExport(t *testing.T) {
+	closeIdle(t)
+	a, b := startEngine(t, `{"id": "a"}`), startEngine(t, `{"id": "b"}`)
+	prompt := strings.Repeat("abcd", 2000)
+	_, exported := prefill(t, a, prompt, &openai.KVTransfer{DoRemoteDecode: true})
+	if kv := exported.KVTransferParams; kv == nil || !kv.DoRemotePrefill || kv.RemoteEngineID != "a" {
+		t.Fatalf("kv_transfer_params of the export: %+v", kv)
+	}
+	if a.Stats().ReservedTokens == 0 {
+		t.Fatal("the export holds no memory")
+	}
+	_, answer := prefill(t, b, prompt, exported.KVTransferParams)
+	if _, ok := openai.CheckAnswer(prompt, answer.Choices[0].Text); !ok {
+		t.Fatalf("answer %q is not complete", answer.Choices[0].Text)
+	}
+	eventually(t, a, "export released", empty)
+	if n := a.Stats().ExportsExpired; n != 0 {
+		t.Fatalf("%d exports expired", n)
+	}
+}
+
+// Guards against a chain for a prompt larger than one engine that does not fit,
+// or whose members keep their memory after the end.
+func TestChainForLargePrompt(t *testing.T) {
+	closeIdle(t)
+	const memory = `{"model": {"memory_tokens": 4000}}`
+	chain := []*Instance{startEngine(t, memory), startEngine(t, memory), startEngine(t, memory)}
+	prompt := strings.Repeat("abcd", 9000)
+	if status, _ := prefill(t, chain[0], prompt, nil); status != http.StatusRequestEntityTooLarge {
+		t.Fatalf("one engine answers %d to a prompt beyond its memory", status)
+	}
+	kv := &openai.KVTransfer{}
+	var answer *openai.Response
+	for i, in := range chain {
+		kv.PartTokens, kv.DoRemoteDecode = 3000, i < len(chain)-1
+		status, doc := prefill(t, in, prompt, kv)
+		if status != http.StatusOK {
+			t.Fatalf("member %d answers %d", i, status)
+		}
+		answer, kv = doc, doc.KVTransferParams
+	}
+	if _, ok := openai.CheckAnswer(prompt, answer.Choices[0].Text); !ok {
+		t.Fatalf("answer %q is not complete", answer.Choices[0].Text)
+	}
+	for _, in := range chain {
+		eventually(t, in, "chain released", empty)
+	}
+}
+
+// Guards against exports that stay reserved when nobody imports them, or when
+// the importer is lost.
+func TestExportExpires(t *testing.T) {
+	closeIdle(t)
+	a := startEngine(t, `{"model": {"export_seconds": 0.3}}`)
+	b := startEngine(t, `{"model": {"export_seconds": 0.3, "restart_seconds": 1000}}`)
+	prompt := strings.Repeat("abcd", 2000)
+	prefill(t, a, prompt, &openai.KVTransfer{DoRemoteDecode: true})
+	eventually(t, a, "unused export expired", func(d *StatsDocument) bool { return empty(d) && d.ExportsExpired == 1 })
+	_, part := prefill(t, a, prompt, &openai.KVTransfer{DoRemoteDecode: true, PartTokens: 1000})
+	part.KVTransferParams.DoRemoteDecode, part.KVTransferParams.PartTokens = true, 1000
+	prefill(t, b, prompt, part.KVTransferParams)
+	if _, err := b.SetFaults(func(f *Faults) error { f.Crash = true; return nil }); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, a, "export of the lost importer expired", empty)
+}
