Check permits inside the write of the first byte

Cause: net/http hands a request to the write goroutine without looking at the context again, so a check in GotConn could be followed by the write anyway. Change: the check runs in the Write of the connection; bodyless requests never use a pooled connection, because net/http repeats them.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -9,14 +9,13 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,8 +55,8 @@
 	Body   []byte
 	// Idempotent allows a pooled connection.
 	Idempotent bool
-	// BeforeSend runs when a connection is ready, right before the first byte
-	// is written. An error stops the dispatch with nothing sent.
+	// BeforeSend runs as part of the write of the first byte. An error stops
+	// the dispatch with nothing sent.
 	BeforeSend func() error
 }
 
@@ -88,13 +87,13 @@
 
 // NewClient returns a client. Dial replaces the dialer when it is not nil;
 // tests use it to inject faults.
-func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+func NewClient(dial dialFunc) *Client {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	base := func() *http.Transport {
 		return &http.Transport{
-			DialContext:         dial,
+			DialContext:         gatedDial(dial),
 			MaxIdleConnsPerHost: maxIdlePerBackend,
 			IdleConnTimeout:     idleTimeout,
 			ReadBufferSize:      bufferBytes,
@@ -115,53 +114,27 @@
 
 // onceReader hides the concrete type of the body, so that net/http cannot set
 // GetBody and therefore cannot send the body again.
-type onceReader struct {
-	data []byte
-	sent *atomic.Bool
-}
-
-func (r *onceReader) Read(p []byte) (int, error) {
-	if len(r.data) == 0 {
-		return 0, io.EOF
-	}
-	r.sent.Store(true)
-	n := copy(p, r.data)
-	r.data = r.data[n:]
-	return n, nil
-}
+type onceReader struct{ io.Reader }
 
 // Do sends r and returns the answer after checking its identity. The caller
 // closes the body. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
-	var sent atomic.Bool
-	ctx, cancel := context.WithCancelCause(ctx)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-		if r.BeforeSend != nil {
-			if err := r.BeforeSend(); err != nil {
-				cancel(err)
-				return
-			}
-		}
-		sent.Store(true)
-	}}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), r, &sent)
+	g := &gate{check: r.BeforeSend}
+	ctx, cancel := context.WithCancel(ctx)
+	req, err := newRequest(withGate(ctx, g), r)
 	if err != nil {
-		cancel(nil)
+		cancel()
 		return nil, &Error{Step: "build request", Backend: r.Backend, Err: err}
 	}
-	transport := c.fresh
-	if r.Idempotent {
-		transport = c.pooled
-	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := c.transport(r).RoundTrip(req)
 	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
+		cancel()
+		if refused := g.refused(); refused != nil {
+			err = refused
 		}
-		cancel(nil)
-		return nil, &Error{Step: "send request", Backend: r.Backend, Sent: sent.Load(), Err: err}
+		return nil, &Error{Step: "send request", Backend: r.Backend, Sent: g.sent.Load(), Err: err}
 	}
-	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: func() { cancel(nil) }}
+	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
 	if err := checkIdentity(resp, r.ID); err != nil {
 		_ = resp.Body.Close()
 		return nil, &Error{Step: "check answer", Backend: r.Backend, Sent: true, Err: err}
@@ -169,10 +142,19 @@
 	return resp, nil
 }
 
-func newRequest(ctx context.Context, r *Request, sent *atomic.Bool) (*http.Request, error) {
+// transport returns the pooled transport only for requests that net/http
+// cannot repeat: those with a body that cannot be rewound.
+func (c *Client) transport(r *Request) *http.Transport {
+	if r.Idempotent && len(r.Body) > 0 {
+		return c.pooled
+	}
+	return c.fresh
+}
+
+func newRequest(ctx context.Context, r *Request) (*http.Request, error) {
 	var body io.Reader
 	if len(r.Body) > 0 {
-		body = &onceReader{data: r.Body, sent: sent}
+		body = onceReader{bytes.NewReader(r.Body)}
 	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.Path, body)
 	if err != nil {
