End calls with their context

Cause: closing a yamux stream does not end a read under way, so a call whose context had ended waited 5 s for the peer; found by TestCallEndsWithItsContext. Change: an ended call sets a deadline in the past before it closes the stream.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -137,10 +137,17 @@
 
 func newStream(ctx context.Context, conn net.Conn, peer Peer) *Stream {
 	s := &Stream{conn: conn, r: bufio.NewReaderSize(conn, 512), peer: peer}
-	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	s.stop = context.AfterFunc(ctx, func() { abort(conn) })
 	return s
 }
 
+// abort ends reads and writes that are under way. Closing a yamux stream does
+// not: it only announces the end to the peer and waits for the peer's.
+func abort(conn net.Conn) {
+	_ = conn.SetDeadline(time.Unix(1, 0))
+	_ = conn.Close()
+}
+
 // Peer returns the other side.
 func (s *Stream) Peer() Peer { return s.peer }
 
@@ -163,10 +170,11 @@
 	return env, nil
 }
 
-// Close ends the call.
+// Close ends the call, also for a Send or Recv under way.
 func (s *Stream) Close() error {
 	s.stop()
-	return s.conn.Close()
+	abort(s.conn)
+	return nil
 }
 
 func yamuxConfig() *yamux.Config {
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,179 @@
+package wire
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/wirepb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func options(kind Kind, id string) Options {
+	return Options{Self: Identity{Kind: kind, ID: id, Incarnation: 1, FailureDomain: "d1"}}
+}
+
+func echo(_ context.Context, s *Stream, req *wirepb.Envelope) error { return s.Send(req) }
+
+func serve(t *testing.T, opts Options, h Handler) *Server {
+	t.Helper()
+	s, err := Serve("127.0.0.1:0", opts, h, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func dumpCall() *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_Dump{Dump: &wirepb.Dump{}}}
+}
+
+// Guards against a fleet that cannot be upgraded process by process.
+func TestVersions(t *testing.T) {
+	for _, tc := range []struct {
+		name                           string
+		low, high, otherLow, otherHigh uint32
+		want                           uint32
+		fails                          bool
+	}{
+		{"same", 1, 2, 1, 2, 2, false},
+		{"older client", 1, 1, 1, 2, 1, false},
+		{"newer client", 2, 3, 1, 2, 2, false},
+		{"too old", 1, 1, 2, 3, 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			so := options(KindState, "s1")
+			so.LowestVersion, so.HighestVersion = tc.otherLow, tc.otherHigh
+			var seen atomic.Uint32
+			server := serve(t, so, func(ctx context.Context, s *Stream, req *wirepb.Envelope) error {
+				seen.Store(s.Peer().Version)
+				return echo(ctx, s, req)
+			})
+			co := options(KindEntry, "e1")
+			co.LowestVersion, co.HighestVersion = tc.low, tc.high
+			client := NewClient(server.Address(), co)
+			defer client.Close()
+			_, err := client.Call(context.Background(), dumpCall())
+			if tc.fails {
+				if err == nil || !strings.Contains(err.Error(), "no common protocol version") {
+					t.Fatalf("got %v", err)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if seen.Load() != tc.want {
+				t.Fatalf("server speaks version %d, want %d", seen.Load(), tc.want)
+			}
+		})
+	}
+}
+
+// Guards against errors of a handler that the caller takes for an answer.
+func TestFailureBecomesAnError(t *testing.T) {
+	server := serve(t, options(KindState, "s1"), func(context.Context, *Stream, *wirepb.Envelope) error {
+		return errors.New("no such thing")
+	})
+	client := NewClient(server.Address(), options(KindCtl, "c1"))
+	defer client.Close()
+	_, err := client.Call(context.Background(), dumpCall())
+	var remote *RemoteError
+	if !errors.As(err, &remote) || remote.Peer != "s1" || remote.Message != "no such thing" {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against a slow call that delays another one on the same connection.
+func TestSlowCallDoesNotBlockOthers(t *testing.T) {
+	release := make(chan struct{})
+	server := serve(t, options(KindState, "s1"), func(ctx context.Context, s *Stream, req *wirepb.Envelope) error {
+		if req.GetConfigPull() != nil {
+			<-release
+		}
+		return echo(ctx, s, req)
+	})
+	client := NewClient(server.Address(), options(KindEntry, "e1"))
+	defer client.Close()
+	slow, err := client.Open(context.Background(), &wirepb.Envelope{Body: &wirepb.Envelope_ConfigPull{ConfigPull: &wirepb.ConfigPull{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	if _, err := client.Call(context.Background(), dumpCall()); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	if _, err := slow.Recv(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a call that waits for ever when the peer is silent.
+func TestCallEndsWithItsContext(t *testing.T) {
+	server := serve(t, options(KindState, "s1"), func(ctx context.Context, _ *Stream, _ *wirepb.Envelope) error {
+		<-ctx.Done()
+		return nil
+	})
+	client := NewClient(server.Address(), options(KindEntry, "e1"))
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := client.Call(ctx, dumpCall()); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against a client that repeats a call on a new connection: the first
+// one may have had its effect.
+func TestCallIsNeverRepeated(t *testing.T) {
+	var calls atomic.Int32
+	var conns []net.Conn
+	opts := options(KindEntry, "e1")
+	opts.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		conns = append(conns, conn)
+		return conn, err
+	}
+	server := serve(t, options(KindState, "s1"), func(context.Context, *Stream, *wirepb.Envelope) error {
+		calls.Add(1)
+		_ = conns[0].Close()
+		return nil
+	})
+	client := NewClient(server.Address(), opts)
+	defer client.Close()
+	if _, err := client.Call(context.Background(), dumpCall()); err == nil {
+		t.Fatal("a call whose connection broke succeeded")
+	}
+	if n := calls.Load(); n != 1 {
+		t.Fatalf("the server saw %d calls, want 1", n)
+	}
+}
+
+// Guards against a stranger that holds sessions open without a handshake, and
+// against bytes that are no protocol.
+func TestStrangersAreDisconnected(t *testing.T) {
+	server := serve(t, options(KindState, "s1"), echo)
+	conn, err := net.Dial("tcp", server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(10 * handshakeTimeout))
+	if _, err := io.ReadAll(conn); errors.Is(err, context.DeadlineExceeded) {
+		t.Fatal("the connection was not closed")
+	}
+}
