Add the load tool

Promises and targets are stated as callers see them, so they have to be measured from outside the entry processes. The load tool plays callers and balancer: it checks each answer by its checksum, counts outcomes by cause and run, records time to first token by length class, and measures what the path adds by calling simulated engines directly in the same run.

Engines get a decode stride: short steps with a stride let a new request start at once, which keeps the engine's step length out of the difference.

--- /dev/null
+++ b/cmd/bilberry-load/main.go
@@ -0,0 +1,43 @@
+// Command bilberry-load sends requests to entry processes and measures the
+// answers.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bilberryhub/internal/loadtool"
+	"bilberryhub/internal/settings"
+
+	"github.com/juju/errors"
+)
+
+const name = "bilberry-load"
+
+func main() {
+	flags := settings.Register(flag.CommandLine)
+	flag.Parse()
+	if flags.Version {
+		settings.PrintVersion(os.Stdout, name)
+		return
+	}
+	if err := run(flags); err != nil {
+		fmt.Fprintln(os.Stderr, name+":", err)
+		os.Exit(1)
+	}
+}
+
+func run(flags *settings.Flags) error {
+	s, err := loadtool.LoadSettings(flags.Config)
+	if err != nil || flags.Check {
+		return errors.Trace(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	_, err = loadtool.New(s).Run(ctx, os.Stdout)
+	return errors.Trace(err)
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -30,12 +30,12 @@
 // control is the state that one goroutine owns: the tables of peers, of pools
 // dispatched here and of pool summaries, and the replies that are due.
 type control struct {
-	server  *Server
-	core    *dispatch.Core
-	peers   *peers.Table
-	router  *routing.Table
-	retries *routing.RetryBudget
-	waiters map[string]chan<- *wirepb.Envelope
+	server   *Server
+	core     *dispatch.Core
+	peers    *peers.Table
+	router   *routing.Table
+	retries  *routing.RetryBudget
+	waiters  map[string]chan<- *wirepb.Envelope
 	lastTick time.Time
 	frozen   uint64
 }
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -81,4 +81,3 @@
 	}
 	return answer.KVTransferParams, nil
 }
-
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -16,7 +16,7 @@
 type reservation struct {
 	reserve    *wirepb.Reserve
 	dispatcher string
-	grant   *wirepb.Grant
+	grant      *wirepb.Grant
 	// expires is when the permit ends, by the clock of this process.
 	expires time.Time
 	// send reports progress; it does not wait.
--- /dev/null
+++ b/internal/loadtool/tool.go
@@ -0,0 +1,68 @@
+package loadtool
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/juju/errors"
+)
+
+// Tool is one run of the load tool.
+type Tool struct {
+	settings *Settings
+	client   *Client
+}
+
+// New returns a tool with the given settings.
+func New(s *Settings) *Tool {
+	c := NewClient(NewBalancer(s.Entries, s.Seed))
+	c.KeepGaps = s.Mode != ModePath
+	return &Tool{settings: s, client: c}
+}
+
+// Run runs the mode of the settings, prints a table to w and writes the files.
+func (t *Tool) Run(ctx context.Context, w io.Writer) (*Report, error) {
+	defer t.client.Close()
+	ctx, cancel := context.WithTimeout(ctx, t.settings.timeout())
+	defer cancel()
+	modes := map[string]func(context.Context) (*Report, error){
+		ModeOnce: t.runOnce, ModeWorkload: t.runWorkload, ModePath: t.runPath,
+	}
+	rep, err := modes[t.settings.Mode](ctx)
+	if rep == nil {
+		return nil, errors.Annotatef(err, "mode %s", t.settings.Mode)
+	}
+	rep.Mode, rep.Label, rep.TimeScale = t.settings.Mode, t.settings.Label, t.settings.TimeScale
+	rep.Write(w)
+	if werr := t.write(rep); werr != nil {
+		return rep, errors.Trace(werr)
+	}
+	return rep, errors.Annotatef(err, "mode %s", t.settings.Mode)
+}
+
+func (t *Tool) write(rep *Report) error {
+	if t.settings.Plot != "" {
+		if err := Plot(rep, t.settings.Plot); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if t.settings.JSON == "" {
+		return nil
+	}
+	out := *rep
+	if !t.settings.KeepResults {
+		out.Results = nil
+	}
+	doc, err := json.MarshalIndent(&out, "", " ")
+	if err != nil {
+		return errors.Annotate(err, "encode report")
+	}
+	return errors.Annotate(os.WriteFile(t.settings.JSON, doc, 0o644), "write report")
+}
+
+func marshal(c *Call) ([]byte, error) {
+	doc, err := json.Marshal(c.body())
+	return doc, errors.Annotate(err, "encode request")
+}
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -180,7 +180,7 @@
 	m.admit()
 	order := slices.Clone(m.running)
 	slices.SortStableFunc(order, byUrgency)
-	budget, seconds, decoding := m.cfg.ChunkTokens, 0.0, 0
+	budget, seconds, decoding, step := m.cfg.ChunkTokens, 0.0, 0, time.Duration(0)
 	for _, j := range order {
 		j.chunk, j.decoding = 0, false
 		if j.hung {
@@ -188,19 +188,19 @@
 		}
 		ok = true
 		left := j.promptTokens - j.prefilled
-		j.decoding = left <= 0
-		j.chunk = max(0, min(left, budget))
-		if j.decoding {
-			decoding++
+		if left <= 0 {
+			step = m.cfg.decodeStep()
+			if j.decoding = (m.stats.Steps+j.arrival)%uint64(m.cfg.DecodeStride) == 0; j.decoding {
+				decoding++
+			}
 			continue
 		}
+		j.chunk = min(left, budget)
 		budget -= j.chunk
 		seconds += float64(j.chunk) / m.rate(j)
 	}
-	length = time.Duration(seconds * float64(time.Second))
-	if decoding > 0 {
-		length += m.cfg.decodeStep() + time.Duration(decoding)*m.cfg.decodePerSequence()
-	}
+	length = time.Duration(seconds*float64(time.Second)) + step +
+		time.Duration(decoding)*m.cfg.decodePerSequence()
 	return length, ok
 }
 
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -64,8 +64,12 @@
 	ChunkTokens             int     `json:"chunk_tokens,omitempty"`
 	DecodeStepMS            float64 `json:"decode_step_ms,omitempty"`
 	DecodePerSequenceMS     float64 `json:"decode_per_sequence_ms,omitempty"`
-	MemoryTokens            int     `json:"memory_tokens,omitempty"`
-	MaxBatch                int     `json:"max_batch,omitempty"`
+	// DecodeStride is the number of steps between two tokens of a request.
+	// Short steps with a stride let new requests start at once, which keeps
+	// the engine's own noise out of measurements of the path.
+	DecodeStride int `json:"decode_stride,omitempty"`
+	MemoryTokens int `json:"memory_tokens,omitempty"`
+	MaxBatch     int `json:"max_batch,omitempty"`
 	// ColdRequests and ColdSeconds bound the cold time after a boot; whichever
 	// is reached first ends it. Zero for both means that it boots warm.
 	ColdRequests      int     `json:"cold_requests,omitempty"`
@@ -96,6 +100,7 @@
 		ChunkTokens:             2048,
 		DecodeStepMS:            20,
 		DecodePerSequenceMS:     0.05,
+		DecodeStride:            1,
 		MemoryTokens:            400_000,
 		MaxBatch:                64,
 		ColdPrefillFactor:       0.1,
