--- a/internal/loadtool/report.go
+++ b/internal/loadtool/report.go
@@ -66,6 +66,8 @@
 	// Events are the actions taken during a workload.
 	Events  []string     `json:"events,omitempty"`
 	Path    []*PathPoint `json:"path,omitempty"`
+	// Single are the answers of mode single.
+	Single  []SingleAnswer `json:"single,omitempty"`
 	Results []*Result    `json:"results,omitempty"`
 }
 
@@ -170,6 +172,12 @@
 		writePath(w, rep.Path)
 		return
 	}
+	if len(rep.Single) > 0 {
+		for _, a := range rep.Single {
+			fmt.Fprintf(w, "%s: status %d, replay %v: %s\n", a.Entry, a.Status, a.Replay, a.Body)
+		}
+		return
+	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintf(t, "%s\trequests\tTTFT p50 ms\tp95\tp99\tmax\ttotal p50\tp99\t\n", rep.Mode)
 	for _, c := range workload.Classes {
--- a/internal/loadtool/settings.go
+++ b/internal/loadtool/settings.go
@@ -24,6 +24,7 @@
 	ModeOnce     = "once"
 	ModeWorkload = "workload"
 	ModePath     = "path"
+	ModeSingle   = "single"
 )
 
 // Settings of the load tool.
@@ -62,6 +63,9 @@
 
 	// Mode path.
 	Path *PathSettings `json:"path,omitempty"`
+
+	// Mode single.
+	Single *Single `json:"single,omitempty"`
 }
 
 // Action is an HTTP call during a workload.
--- a/internal/loadtool/tool.go
+++ b/internal/loadtool/tool.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(ctx, t.settings.timeout())
 	defer cancel()
 	modes := map[string]func(context.Context) (*Report, error){
-		ModeOnce: t.runOnce, ModeWorkload: t.runWorkload, ModePath: t.runPath,
+		ModeOnce: t.runOnce, ModeWorkload: t.runWorkload, ModePath: t.runPath, ModeSingle: t.runSingle,
 	}
 	rep, err := modes[t.settings.Mode](ctx)
 	if rep == nil {
