--- /dev/null
+++ b/internal/raft/fuzz_test.go
@@ -0,0 +1,129 @@
+package raft
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bilberryhub/internal/invariant"
+	"bilberryhub/internal/wirepb"
+)
+
+// impossible lists the invariants that an arbitrary sender can violate, by
+// claiming to be a second leader or to hold other committed entries.
+var impossible = []string{
+	"raft_one_leader_per_term", "raft_leader_completeness", "raft_log_matching", "raft_committed_unchanged",
+}
+
+// input reads small numbers from fuzz data.
+type input struct{ data []byte }
+
+func (in *input) next(limit int) int {
+	if len(in.data) == 0 {
+		return 0
+	}
+	b := in.data[0]
+	in.data = in.data[1:]
+	return int(b) % limit
+}
+
+func (in *input) number() uint64 {
+	if v := in.next(32); v < 30 {
+		return uint64(v)
+	}
+	return ^uint64(0) >> in.next(4)
+}
+
+func (in *input) id() string { return []string{"a", "b", "c", "d", ""}[in.next(5)] }
+
+func (in *input) membership() *wirepb.Membership {
+	m := &wirepb.Membership{}
+	for range in.next(4) {
+		m.Voters = append(m.Voters, &wirepb.Replica{Id: in.id()})
+	}
+	for range in.next(2) {
+		m.Learners = append(m.Learners, &wirepb.Replica{Id: in.id()})
+	}
+	for range in.next(2) {
+		m.Retired = append(m.Retired, in.id())
+	}
+	return m
+}
+
+func (in *input) message() *wirepb.RaftMessage {
+	m := &wirepb.RaftMessage{
+		Kind: wirepb.RaftMessage_Kind(in.next(11)), From: in.id(), To: "a", Term: in.number(),
+		LogIndex: in.number(), LogTerm: in.number(), Commit: in.number(), Reject: in.next(2) == 0,
+		HintIndex: in.number(), Round: in.number(),
+	}
+	index := m.LogIndex
+	for range in.next(4) {
+		index++
+		e := &wirepb.LogEntry{Index: index, Term: max(m.LogTerm, in.number()), Kind: wirepb.LogEntry_Kind(in.next(5))}
+		if in.next(8) == 0 {
+			e.Index = in.number()
+		}
+		if e.Kind == wirepb.LogEntry_KIND_MEMBERSHIP {
+			e.Data, _ = proto.Marshal(in.membership())
+		}
+		m.Entries = append(m.Entries, e)
+	}
+	if in.next(4) == 0 {
+		m.Snapshot = &wirepb.Snapshot{Index: in.number(), Term: in.number(), Membership: in.membership()}
+	}
+	return m
+}
+
+// Guards against messages of a faulty peer that crash a replica: they must be
+// dropped unless they contradict the log itself.
+func FuzzStep(f *testing.F) {
+	for seed := range byte(16) {
+		data := make([]byte, 4096)
+		for i := range data {
+			data[i] = byte((i*i*31 + i*int(seed) + int(seed)*97) >> 2)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		defer invariant.SetHandler(func(string, string) {})()
+		defer func() {
+			p := fmt.Sprint(recover())
+			for _, name := range impossible {
+				if strings.HasPrefix(p, "invariant "+name+" ") {
+					return
+				}
+			}
+			if p != "<nil>" {
+				t.Fatal(p)
+			}
+		}()
+		fuzzNode(&input{data})
+	})
+}
+
+func fuzzNode(in *input) {
+	s := newSim(1, disabled{}, "a", "b", "c")
+	n, now := s.host("a").n, time.Duration(0)
+	for len(in.data) > 0 {
+		now += time.Duration(in.next(60)) * time.Millisecond
+		switch in.next(8) {
+		case 0:
+			n.Tick(now)
+		case 1:
+			_, _, _ = n.Propose([]byte("x"), now)
+		case 2:
+			_, _, _ = n.ProposeMembership(Change{Kind: ChangeKind(in.next(6)), ID: in.id(), Replica: &wirepb.Replica{Id: in.id()}}, now)
+		case 3:
+			_ = n.TransferLeadership(in.id(), now)
+		default:
+			n.Step(in.message(), now)
+		}
+		if n.HasReady() && in.next(2) == 0 {
+			n.Advance(n.Ready().Persisted())
+		}
+		n.Status(now)
+	}
+}
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -19,7 +19,7 @@
 	if now <= n.now {
 		return
 	}
-	if gap := now - n.now; gap > n.cfg.ElectionTimeout/2 && n.role != Leader {
+	if gap := now - n.now; gap > n.cfg.ElectionTimeout/2 && n.role != Leader && !n.off.stallGuard {
 		n.contact += gap
 		n.electionDeadline += gap
 	}
@@ -37,7 +37,7 @@
 // this leader may hold a lease. The start of the process counts as contact,
 // because the last contact before a restart is unknown.
 func (n *Node) sticky() bool {
-	if n.off.stickiness {
+	if n.off.stickiness || (n.off.quietStart && !n.leaderHeard) {
 		return false
 	}
 	return n.role == Leader || n.now-n.contact < n.cfg.ElectionTimeout
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -83,7 +83,7 @@
 // disabled switches off single mechanisms. Only tests set it, to show that a
 // proof fails without the mechanism that it covers.
 type disabled struct {
-	preVote, checkQuorum, stickiness, learnerSync, persistBeforeCount, retired, leaseAfterCommit bool
+	preVote, checkQuorum, stickiness, learnerSync, persistBeforeCount, retired, leaseAfterCommit, quietStart, stallGuard bool
 }
 
 // New returns a replica that starts from durable state. Damaged state is
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -95,7 +95,7 @@
 	n.orderElection()
 	n.eachPeer(func(id string, p *progress) {
 		p.paused = false
-		if p.state == installing && n.now-p.snapshotSent > snapshotRetryTimeouts*n.cfg.ElectionTimeout {
+		if n.mustRestart(p) {
 			p.probe(p.match + 1)
 		}
 		if !n.sendEntries(id, p) {
@@ -104,6 +104,16 @@
 	})
 }
 
+// mustRestart reports whether the messages in flight may be lost without a
+// trace: a snapshot was not answered, or the log was compacted past the entries
+// in flight, so that no heartbeat can refer to them and be refused.
+func (n *Node) mustRestart(p *progress) bool {
+	if p.state == installing {
+		return n.now-p.snapshotSent > snapshotRetryTimeouts*n.cfg.ElectionTimeout
+	}
+	return p.next <= n.log.baseIndex
+}
+
 func (n *Node) broadcastAppend() {
 	n.eachPeer(func(id string, p *progress) { n.sendEntries(id, p) })
 }
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -64,6 +64,8 @@
 	committed map[uint64]uint64            // index to chain
 	proposed  map[entryKey]string
 	acked     map[string]uint64 // command to index
+	lastAcked uint64
+	restored  int // snapshots received and installed
 	err       error
 }
 
@@ -220,6 +222,7 @@
 	s.send(rd.AfterPersist)
 	if rd.Snapshot != nil {
 		s.restore(h, rd.Snapshot)
+		s.restored++
 	}
 	for _, e := range rd.Committed {
 		s.apply(h, e)
@@ -281,6 +284,7 @@
 	s.committed[e.Index] = h.chain
 	if cmd, ok := s.proposed[entryKey{e.Index, e.Term}]; ok && h.n.role == Leader {
 		s.acked[cmd] = e.Index
+		s.lastAcked = max(s.lastAcked, e.Index)
 	}
 }
 
@@ -296,6 +300,9 @@
 				s.fail("lease held by %s and %s", lease, h.id)
 			}
 			lease = h.id
+			if h.n.commit < s.lastAcked {
+				s.fail("%s holds a lease with commit %d, acknowledged is %d", h.id, h.n.commit, s.lastAcked)
+			}
 		}
 		if h.n.commit < h.commit || h.n.applied > h.n.commit {
 			s.fail("%s: commit %d after %d, applied %d", h.id, h.n.commit, h.commit, h.n.applied)
