--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -111,7 +111,7 @@
 	c.lastTick = time.Now()
 	c.server.log.Warn("process was paused; leases and permits from before are void", zap.Duration("gap", gap))
 	metricPauses.Inc()
-	c.core.SetConfigAge(c.server.sync.Age(time.Now()))
+	c.core.SetConfigAge(c.server.configAge())
 	c.core.Tick(c.now())
 }
 
@@ -119,7 +119,7 @@
 	c.noticeFreeze()
 	c.lastTick = time.Now()
 	now := c.now()
-	c.core.SetConfigAge(c.server.sync.Age(time.Now()))
+	c.core.SetConfigAge(c.server.configAge())
 	c.peersLost(c.peers.Expire(now))
 	c.retries.Expire(now)
 	c.core.Tick(now)
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -32,7 +32,7 @@
 		return
 	}
 	h.Set(configIndexHeader, strconv.FormatUint(v.Index, 10))
-	if age := s.sync.Age(time.Now()); age > staleAfter {
+	if age := s.configAge(); age > staleAfter {
 		h.Set(configStaleHeader, strconv.FormatInt(age.Milliseconds(), 10))
 	}
 	if hr.Method == http.MethodGet && hr.URL.Path == modelsPath {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -181,11 +181,21 @@
 	}
 	s.loop.post(func(c *control) {
 		c.core.SetView(newView(v))
-		c.core.SetConfigAge(s.sync.Age(time.Now()))
+		c.core.SetConfigAge(s.configAge())
 	})
 	s.log.Info("configuration in force", zap.Uint64("index", v.Index), zap.Uint64("manifest", v.Number))
 }
 
+// configAge returns the age of the configuration in force. One that came from
+// a peer and was never confirmed is stale from the start of the process on.
+func (s *Server) configAge() time.Duration {
+	age := s.sync.Age(time.Now())
+	if age == configsync.NeverFresh {
+		return staleAfter + time.Since(s.started)
+	}
+	return age
+}
+
 func (s *Server) announceMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+announce.Path, s.serveAnnounce)
