--- a/internal/loadtool/report.go
+++ b/internal/loadtool/report.go
@@ -63,6 +63,8 @@
 	Causes   map[string]int     `json:"causes"`
 	Accounts map[string]Account `json:"accounts"`
 	Tokens   int                `json:"tokens"`
+	// Engines has the change of the counters of all stand-ins.
+	Engines *Engines `json:"engines,omitempty"`
 	// Events are the actions taken during a workload.
 	Events  []string     `json:"events,omitempty"`
 	Path    []*PathPoint `json:"path,omitempty"`
@@ -191,6 +193,9 @@
 	for _, cause := range slices.Sorted(maps.Keys(rep.Causes)) {
 		fmt.Fprintf(w, "  %s: %d\n", cause, rep.Causes[cause])
 	}
+	if e := rep.Engines; e != nil {
+		fmt.Fprintf(w, "engines: %+v\n", *e)
+	}
 }
 
 func counts(m map[string]int) string {
--- a/internal/loadtool/settings.go
+++ b/internal/loadtool/settings.go
@@ -42,6 +42,9 @@
 	TimeoutSeconds  float64 `json:"timeout_seconds,omitempty"`
 	NoStream        bool    `json:"no_stream,omitempty"`
 	TextCompletions bool    `json:"text_completions,omitempty"`
+	// Stats are the URLs of the counters of stand-in processes; the report has
+	// their change during the run.
+	Stats []string `json:"stats,omitempty"`
 	// JSON and Plot are files to write; KeepResults adds every single result.
 	JSON        string `json:"json,omitempty"`
 	Plot        string `json:"plot,omitempty"`
--- a/internal/loadtool/tool.go
+++ b/internal/loadtool/tool.go
@@ -30,10 +30,21 @@
 	modes := map[string]func(context.Context) (*Report, error){
 		ModeOnce: t.runOnce, ModeWorkload: t.runWorkload, ModePath: t.runPath,
 	}
+	before, err := t.engines(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	rep, err := modes[t.settings.Mode](ctx)
 	if rep == nil {
 		return nil, errors.Annotatef(err, "mode %s", t.settings.Mode)
 	}
+	if before != nil {
+		after, err := t.engines(ctx)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		rep.Engines = after.since(before)
+	}
 	rep.Mode, rep.Label, rep.TimeScale = t.settings.Mode, t.settings.Label, t.settings.TimeScale
 	rep.Write(w)
 	if werr := t.write(rep); werr != nil {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -67,7 +67,7 @@
 
 var errFellOver = errors.ConstError("engine fell over while cold")
 
-func newEngine(cfg *InstanceSettings, scale float64, stats *Stats, fallOver func(string)) *engine {
+func newEngine(cfg *InstanceSettings, first bool, scale float64, stats *Stats, fallOver func(string)) *engine {
 	ctx, stop := context.WithCancel(context.Background())
 	e := &engine{
 		ctx: ctx, stop: stop,
@@ -75,7 +75,8 @@
 		model: newModel(*cfg.Model), open: map[string]*request{},
 		exports: map[int64]*export{}, wake: make(chan struct{}, 1),
 	}
-	if cfg.Model.ColdRequests > 0 || cfg.Model.ColdSeconds > 0 {
+	cold := cfg.Model.ColdRequests > 0 || cfg.Model.ColdSeconds > 0
+	if cold && !(first && cfg.Model.StartsWarm) {
 		e.setCold(true, true)
 	}
 	e.done.Go(e.run)
--- a/internal/standin/instance.go
+++ b/internal/standin/instance.go
@@ -26,6 +26,7 @@
 	seed    uint64
 
 	mu       sync.Mutex
+	first    uint64
 	number   uint64
 	current  *boot
 	server   *http.Server
@@ -46,7 +47,7 @@
 		first = uint64(time.Now().UnixMilli())
 	}
 	in := &Instance{
-		cfg: cfg, scale: scale, stats: stats, seed: seed, number: first,
+		cfg: cfg, scale: scale, stats: stats, seed: seed, first: first, number: first,
 		log:     log.With(zap.String("instance", cfg.ID)),
 		effects: &effects{runs: map[string]int{}},
 		orders: &orders{
@@ -86,7 +87,7 @@
 	cfg := in.cfg
 	b := &boot{in: in, number: in.number}
 	if cfg.Kind == announce.KindModel {
-		b.engine = newEngine(&cfg, in.scale, in.stats, func(reason string) { in.crash(b, reason) })
+		b.engine = newEngine(&cfg, in.number == in.first, in.scale, in.stats, func(reason string) { in.crash(b, reason) })
 	} else {
 		b.plain = &plain{open: map[string]int{}}
 	}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -75,7 +75,9 @@
 	ColdRequests      int     `json:"cold_requests,omitempty"`
 	ColdSeconds       float64 `json:"cold_seconds,omitempty"`
 	ColdPrefillFactor float64 `json:"cold_prefill_factor,omitempty"`
-	RestartSeconds    float64 `json:"restart_seconds,omitempty"`
+	// StartsWarm leaves out the cold time of the first boot.
+	StartsWarm     bool    `json:"starts_warm,omitempty"`
+	RestartSeconds float64 `json:"restart_seconds,omitempty"`
 	// LoadSeconds is how long an ordered model load takes.
 	LoadSeconds float64 `json:"load_seconds,omitempty"`
 	// ExportSeconds is how long an export waits for its import, in real time.
--- a/internal/workload/generate.go
+++ b/internal/workload/generate.go
@@ -119,7 +119,7 @@
 
 // request draws everything but the arrival time.
 func (c *Config) request(rng *rand.Rand, at float64, account int) Request {
-	r := Request{At: toDuration(at), Account: account, Nonce: rng.Uint64()}
+	r := Request{At: toDuration(at), Account: account, Nonce: rng.Uint64(), Salt: c.Salt}
 	long := rng.Float64() < c.LongShare
 	r.PromptTokens = logUniform(rng, c.MinTokens, LongTokens)
 	if long {
--- a/internal/workload/text.go
+++ b/internal/workload/text.go
@@ -18,11 +18,10 @@
 	var b strings.Builder
 	b.Grow(r.PromptTokens * bytesPerToken)
 	if r.PrefixTokens > 0 {
-		start := fmt.Sprintf("account %d prefix %d: ", r.Account, r.Prefix)
-		b.WriteString(start)
+		fmt.Fprintf(&b, "account %d prefix %d salt %d: ", r.Account, r.Prefix, r.Salt)
 		fill(&b, r.PrefixTokens*bytesPerToken)
 	}
-	fmt.Fprintf(&b, "request %016x: ", r.Nonce)
+	fmt.Fprintf(&b, "request %016x salt %d: ", r.Nonce, r.Salt)
 	fill(&b, r.PromptTokens*bytesPerToken)
 	return b.String()[:r.PromptTokens*bytesPerToken]
 }
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -63,7 +63,10 @@
 
 // Config describes a workload. Zero fields take the values of Default.
 type Config struct {
-	Seed              uint64  `json:"seed,omitempty"`
+	Seed uint64 `json:"seed,omitempty"`
+	// Salt changes the texts and nothing else, so that a second run of the same
+	// workload finds no prompt of the first one in a prefix cache.
+	Salt              uint64  `json:"salt,omitempty"`
 	DurationSeconds   float64 `json:"duration_seconds,omitempty"`
 	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
 	Pattern           Pattern `json:"pattern,omitempty"`
@@ -124,6 +127,7 @@
 	Burst bool
 	// Nonce makes the prompt differ from all others.
 	Nonce uint64
+	Salt  uint64
 }
 
 // Class returns the name of the length class.
