Compare policies from the reports of the load tool

The policy experiment sends one workload three times to each policy: without long prompts, in full with bursts, and while a failure domain leaves and returns.

--- a/cmd/bilberry-load/main.go
+++ b/cmd/bilberry-load/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"syscall"
 
+	"bilberryhub/internal/bench"
 	"bilberryhub/internal/loadtool"
 	"bilberryhub/internal/settings"
 
@@ -32,6 +33,13 @@
 }
 
 func run(flags *settings.Flags) error {
+	if bench.IsMode(flags.Config) {
+		s, err := bench.LoadSettings(flags.Config)
+		if err != nil || flags.Check {
+			return errors.Trace(err)
+		}
+		return errors.Trace(bench.Run(s, os.Stdout))
+	}
 	s, err := loadtool.LoadSettings(flags.Config)
 	if err != nil || flags.Check {
 		return errors.Trace(err)
--- /dev/null
+++ b/internal/bench/compare.go
@@ -0,0 +1,245 @@
+package bench
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"bilberryhub/internal/loadtool"
+	"bilberryhub/internal/workload"
+
+	"github.com/juju/errors"
+)
+
+// Runs of each policy, with the same workload. File names are POLICY-RUN.json.
+const (
+	// RunNoLong leaves out the prompts over 100,000 tokens.
+	RunNoLong = "nolong"
+	// RunMain is the full workload with bursts.
+	RunMain = "main"
+	// RunDomain loses the engines of one failure domain for a while; they
+	// return cold.
+	RunDomain = "domain"
+)
+
+// Comparison is the result of the policy experiment. All times are in simulated
+// ms: real times divided by the time scale.
+type Comparison struct {
+	TimeScale float64   `json:"time_scale"`
+	Policies  []*Policy `json:"policies"`
+}
+
+// Policy is the result of one policy.
+type Policy struct {
+	Name string `json:"name"`
+	// TTFT of the main run by length class; "short" is all below 10,000 tokens.
+	TTFT map[string]loadtool.Times `json:"ttft"`
+	// SlowdownP50 and SlowdownP95 are the TTFT of short requests with long ones
+	// over that without.
+	SlowdownP50 float64        `json:"slowdown_p50"`
+	SlowdownP95 float64        `json:"slowdown_p95"`
+	Requests    int            `json:"requests"`
+	Outcomes    map[string]int `json:"outcomes"`
+	Causes      map[string]int `json:"causes"`
+	// FairnessIndex is Jain's index of the accounts' mean short TTFT without
+	// their own bursts; 1 means equal.
+	FairnessIndex float64 `json:"fairness_index"`
+	// BurstRatio is the 95th percentile of the short TTFT of other accounts
+	// during bursts over that at other times; zero without bursts.
+	BurstRatio float64 `json:"burst_ratio"`
+	// Overloads and EnginesLost count over all runs.
+	Overloads   uint64 `json:"overloads"`
+	EnginesLost uint64 `json:"engines_lost"`
+	// DomainRatio is the 95th percentile of urgent short requests while the
+	// domain is away, over the one before.
+	DomainRatio  float64        `json:"domain_ratio"`
+	DomainCauses map[string]int `json:"domain_causes"`
+	Timeline     []Bucket       `json:"timeline"`
+}
+
+// Bucket is one interval of the domain run, by time of sending.
+type Bucket struct {
+	Seconds  float64 `json:"at_seconds"`
+	Requests int     `json:"requests"`
+	// NotOK counts all requests that were late, refused, failed or wrong.
+	NotOK    int     `json:"not_ok"`
+	ShortP50 float64 `json:"short_p50_ms"`
+	ShortP95 float64 `json:"short_p95_ms"`
+}
+
+// bucketSeconds is the width of a bucket in simulated time: at 8 requests/s, of
+// which half are short, it holds about 40 short ones.
+const bucketSeconds = 10.0
+
+// CompareSettings name the reports to compare.
+type CompareSettings struct {
+	Dir      string   `json:"dir"`
+	Policies []string `json:"policies"`
+	// The domain is away between these times of the domain run, in simulated
+	// time.
+	LeaveSeconds  float64 `json:"leave_seconds"`
+	ReturnSeconds float64 `json:"return_seconds"`
+}
+
+// Compare reads the reports of all policies.
+func Compare(s *CompareSettings) (*Comparison, error) {
+	c := &Comparison{}
+	for _, name := range s.Policies {
+		runs := map[string]*loadtool.Report{}
+		for _, run := range []string{RunNoLong, RunMain, RunDomain} {
+			rep, err := readReport(filepath.Join(s.Dir, name+"-"+run+".json"))
+			if err != nil {
+				return nil, errors.Trace(err)
+			}
+			runs[run] = rep
+		}
+		c.TimeScale = runs[RunMain].TimeScale
+		c.Policies = append(c.Policies, newPolicy(name, runs, s))
+	}
+	return c, nil
+}
+
+func readReport(path string) (*loadtool.Report, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "read report")
+	}
+	rep := &loadtool.Report{}
+	if err := json.Unmarshal(b, rep); err != nil {
+		return nil, errors.Annotatef(err, "decode report %s", path)
+	}
+	// From here on all times are simulated.
+	for _, r := range rep.Results {
+		r.TTFT = simulated(r.TTFT, rep.TimeScale)
+		r.Total = simulated(r.Total, rep.TimeScale)
+		r.Start = simulated(r.Start, rep.TimeScale)
+	}
+	return rep, nil
+}
+
+func simulated(d time.Duration, scale float64) time.Duration {
+	return time.Duration(float64(d) / scale)
+}
+
+func newPolicy(name string, runs map[string]*loadtool.Report, s *CompareSettings) *Policy {
+	main := runs[RunMain]
+	p := &Policy{
+		Name: name, Requests: main.Requests, Outcomes: main.Outcomes, Causes: main.Causes,
+		TTFT: loadtool.Summarise(main.Results).TTFT,
+	}
+	without := times(runs[RunNoLong].Results, isShort)
+	with := times(main.Results, isShort)
+	p.SlowdownP50, p.SlowdownP95 = ratio(with.P50, without.P50), ratio(with.P95, without.P95)
+	p.FairnessIndex = fairness(main.Results)
+	p.BurstRatio = burstRatio(main.Results)
+	for _, rep := range runs {
+		if rep.Engines != nil {
+			p.Overloads += rep.Engines.Overloads
+			p.EnginesLost += rep.Engines.Crashes
+		}
+	}
+	domain := runs[RunDomain]
+	p.DomainCauses = domain.Causes
+	p.Timeline = timeline(domain.Results)
+	urgent := func(r *loadtool.Result) bool { return isShort(r) && r.Urgency == "urgent" }
+	leave, back := s.LeaveSeconds, s.ReturnSeconds
+	before := times(domain.Results, func(r *loadtool.Result) bool { return urgent(r) && r.Start.Seconds() < leave })
+	away := times(domain.Results, func(r *loadtool.Result) bool {
+		return urgent(r) && r.Start.Seconds() >= leave && r.Start.Seconds() < back
+	})
+	p.DomainRatio = ratio(away.P95, before.P95)
+	return p
+}
+
+func isShort(r *loadtool.Result) bool { return r.Prompt < workload.ShortTokens && r.TTFT > 0 }
+
+// times summarises the TTFT of the chosen results.
+func times(results []*loadtool.Result, chosen func(*loadtool.Result) bool) loadtool.Times {
+	rec := loadtool.NewRecorder()
+	for _, r := range results {
+		if chosen(r) {
+			rec.Add(r.TTFT)
+		}
+	}
+	return rec.Times()
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// fairness returns Jain's index (Σx)²/(n·Σx²) over the mean short TTFT of the
+// accounts.
+func fairness(results []*loadtool.Result) float64 {
+	means := map[int]*loadtool.Recorder{}
+	for _, r := range results {
+		if !isShort(r) || r.Burst {
+			continue
+		}
+		if means[r.Account] == nil {
+			means[r.Account] = loadtool.NewRecorder()
+		}
+		means[r.Account].Add(r.TTFT)
+	}
+	sum, squares := 0.0, 0.0
+	for _, rec := range means {
+		m := rec.Times().Mean
+		sum += m
+		squares += m * m
+	}
+	return ratio(sum*sum, float64(len(means))*squares)
+}
+
+// burstSpan is how long after the first request of a burst it is felt.
+const burstSpan = 10 * time.Second
+
+// burstRatio compares the short requests of other accounts within a burst with
+// those outside all bursts.
+func burstRatio(results []*loadtool.Result) float64 {
+	sorted := slices.Clone(results)
+	slices.SortFunc(sorted, func(a, b *loadtool.Result) int { return int(a.Start - b.Start) })
+	inside, outside := loadtool.NewRecorder(), loadtool.NewRecorder()
+	account, until := -1, time.Duration(-1)
+	for _, r := range sorted {
+		if r.Burst && r.Start > until {
+			account, until = r.Account, r.Start+burstSpan
+		}
+		switch {
+		case r.Burst || !isShort(r):
+		case r.Start > until:
+			outside.Add(r.TTFT)
+		case r.Account != account:
+			inside.Add(r.TTFT)
+		}
+	}
+	return ratio(inside.Times().P95, outside.Times().P95)
+}
+
+func timeline(results []*loadtool.Result) []Bucket {
+	var out []Bucket
+	var recs []*loadtool.Recorder
+	for _, r := range results {
+		i := int(r.Start.Seconds() / bucketSeconds)
+		for len(out) <= i {
+			out = append(out, Bucket{Seconds: float64(len(out)) * bucketSeconds})
+			recs = append(recs, loadtool.NewRecorder())
+		}
+		out[i].Requests++
+		if r.Outcome != loadtool.OK {
+			out[i].NotOK++
+		}
+		if isShort(r) {
+			recs[i].Add(r.TTFT)
+		}
+	}
+	for i := range out {
+		t := recs[i].Times()
+		out[i].ShortP50, out[i].ShortP95 = t.P50, t.P95
+	}
+	return out
+}
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -97,3 +97,6 @@
 	all.Wait()
 	p.done.Wait()
 }
+
+// AdminAddress returns the address of the administration after Start.
+func (p *Process) AdminAddress() string { return p.adminAt }
