Log errors without their annotated stacks

Cause: the errorVerbose field that zap adds for annotated errors made log lines several times longer than their content. Change: observe.Error logs the text of an error; the entry process takes test diallers.

--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	server, err := entry.New(s, log)
+	server, err := entry.New(s, entry.Options{}, log)
 	if err != nil {
 		return errors.Annotate(err, "set up")
 	}
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -28,6 +28,7 @@
 
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/invariant"
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
@@ -146,7 +147,7 @@
 		s.lastError = errText(err)
 		s.mu.Unlock()
 		if ctx.Err() == nil {
-			s.opts.Log.Info("left state process", zap.String("address", address), zap.Error(err))
+			s.opts.Log.Info("left state process", zap.String("address", address), observe.Error(err))
 		}
 		sleep(ctx, retryDelay)
 	}
@@ -207,7 +208,7 @@
 		s.rejected = known{snap.GetIndex(), snap.GetDigest()}
 	}
 	s.lastError = err.Error()
-	s.opts.Log.Error("configuration rejected", zap.Uint64("index", snap.GetIndex()), zap.Error(err))
+	s.opts.Log.Error("configuration rejected", zap.Uint64("index", snap.GetIndex()), observe.Error(err))
 }
 
 // Floor returns the highest index that this process has heard of.
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/announce"
+	"bilberryhub/internal/observe"
 )
 
 // serveAnnounce takes an announcement when this process is the dispatcher of
@@ -43,6 +44,6 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(reply); err != nil {
-		s.log.Debug("reply to announcement not sent", zap.String("backend_server", a.ID), zap.Error(err))
+		s.log.Debug("reply to announcement not sent", zap.String("backend_server", a.ID), observe.Error(err))
 	}
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/backend"
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/relay"
 	"bilberryhub/internal/wirepb"
@@ -78,7 +79,7 @@
 		}
 		next, resumeErr := a.resume(ctx, st)
 		if resumeErr != nil {
-			a.log.Info("stream not resumed", zap.Error(resumeErr))
+			a.log.Info("stream not resumed", observe.Error(resumeErr))
 			return err
 		}
 		metricResumes.Inc()
@@ -117,7 +118,7 @@
 		return out
 	}
 	out.excluded = a.member.GetBackend()
-	a.log.Info("stream failed", zap.Uint64("events", st.Events), zap.Error(err))
+	a.log.Info("stream failed", zap.Uint64("events", st.Events), observe.Error(err))
 	switch cause := errors.Cause(err); {
 	case ctx.Err() != nil:
 		out.step, out.err = wirepb.Progress_STEP_CANCELLED, cancelled(ctx, true)
@@ -179,7 +180,7 @@
 			a.cancelStream()
 		}
 	case err != nil:
-		a.log.Info("answer broke off", zap.Error(err))
+		a.log.Info("answer broke off", observe.Error(err))
 		out.step, out.excluded = wirepb.Progress_STEP_BROKEN, a.member.GetBackend()
 		out.err = refusal.Unknown(refusal.BackendFailed, "connection broke before the whole answer had arrived")
 	case len(body) > maxBufferedAnswer:
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/backend"
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/relay"
 	"bilberryhub/internal/wirepb"
@@ -210,7 +211,7 @@
 	var failed *backend.Error
 	sent := !errors.As(err, &failed) || failed.Sent
 	out := outcome{sent: sent, step: wirepb.Progress_STEP_NOT_SENT, excluded: a.member.GetBackend()}
-	a.log.Info("dispatch failed", zap.Bool("sent", sent), zap.Error(err))
+	a.log.Info("dispatch failed", zap.Bool("sent", sent), observe.Error(err))
 	switch {
 	case ctx.Err() != nil:
 		out.err = cancelled(ctx, sent)
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/routing"
 	"bilberryhub/internal/wirepb"
@@ -72,7 +73,7 @@
 		}
 		var refused *refusedError
 		if !errors.As(err, &refused) {
-			s.log.Warn("dispatcher not reached", zap.String("request_id", r.id), zap.Error(err))
+			s.log.Warn("dispatcher not reached", zap.String("request_id", r.id), observe.Error(err))
 			continue
 		}
 		last = preferred(last, refused.refusal())
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/peers"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/wire"
@@ -72,14 +73,14 @@
 	defer cancel()
 	st, err := s.clients.get(address).Open(ctx, &envelope{Body: &wirepb.Envelope_PeerHeartbeat{PeerHeartbeat: self}})
 	if err != nil {
-		s.log.Debug("heartbeat failed", zap.String("peer", address), zap.Error(err))
+		s.log.Debug("heartbeat failed", zap.String("peer", address), observe.Error(err))
 		return
 	}
 	defer st.Close()
 	for range 2 {
 		env, err := st.Recv()
 		if err != nil {
-			s.log.Debug("heartbeat not answered", zap.String("peer", address), zap.Error(err))
+			s.log.Debug("heartbeat not answered", zap.String("peer", address), observe.Error(err))
 			return
 		}
 		if st.Peer().ID == s.settings.ID {
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
@@ -174,7 +175,7 @@
 		grant: grant,
 		send: func(p *wirepb.Progress) {
 			if err := st.Send(&wirepb.Envelope{Body: &wirepb.Envelope_Progress{Progress: p}}); err != nil {
-				s.log.Debug("progress not sent", zap.String("dispatch", p.GetDispatchId()), zap.Error(err))
+				s.log.Debug("progress not sent", zap.String("dispatch", p.GetDispatchId()), observe.Error(err))
 			}
 		},
 		confirm: func() {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -39,9 +39,18 @@
 // headerTimeout bounds the time a caller takes to send the headers.
 const headerTimeout = 5 * time.Second
 
+// Options are the parts of a server that tests replace.
+type Options struct {
+	// Dial replaces the dialler of connections to other processes, and
+	// BackendDial that of connections to backend servers.
+	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	BackendDial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Server is one entry process.
 type Server struct {
 	settings    *Settings
+	opts        Options
 	log         *zap.Logger
 	started     time.Time
 	incarnation uint64
@@ -74,17 +83,17 @@
 }
 
 // New returns a server that has not started.
-func New(settings *Settings, log *zap.Logger) (*Server, error) {
+func New(settings *Settings, opts Options, log *zap.Logger) (*Server, error) {
 	tlsConfig, err := settings.TLS.Config()
 	if err != nil {
 		return nil, errors.Annotate(err, "TLS settings")
 	}
 	s := &Server{
-		settings: settings, log: log, started: time.Now(), tls: tlsConfig,
+		settings: settings, opts: opts, log: log, started: time.Now(), tls: tlsConfig,
 		// Nanoseconds since the epoch differ for each start, also after a clock
 		// that was set back by less than the time since the last start.
 		incarnation: uint64(time.Now().UnixNano()),
-		loop:        newLoop(), requests: newRequestTable(), open: newOpenList(), backends: backend.NewClient(nil),
+		loop:        newLoop(), requests: newRequestTable(), open: newOpenList(), backends: backend.NewClient(opts.BackendDial),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.abort, s.kill = context.WithCancel(context.Background())
@@ -99,7 +108,7 @@
 			Kind: wire.KindEntry, ID: s.settings.ID,
 			Incarnation: s.incarnation, FailureDomain: s.settings.FailureDomain,
 		},
-		TLS: s.tls,
+		TLS: s.tls, Dial: s.opts.Dial,
 	}
 }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -35,6 +35,15 @@
 	return log, nil
 }
 
+// Error returns a log field with the text of err. Unlike zap.Error it leaves
+// out the annotated stack, which is longer than the rest of the line.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // Admin serves /metrics, /health and /dump of one process.
 type Admin struct {
 	dump    func() (any, error)
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bilberryhub/internal/announce"
+	"bilberryhub/internal/observe"
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
@@ -170,7 +171,7 @@
 			continue
 		}
 		if ctx.Err() == nil {
-			a.in.log.Debug("announcement failed", zap.String("entry", to), zap.Int("status", status), zap.Error(err))
+			a.in.log.Debug("announcement failed", zap.String("entry", to), zap.Int("status", status), observe.Error(err))
 		}
 		break
 	}
--- a/internal/standin/instance.go
+++ b/internal/standin/instance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bilberryhub/internal/announce"
+	"bilberryhub/internal/observe"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -207,7 +208,7 @@
 	in.number++
 	if err := in.bootLocked(); err != nil {
 		in.number--
-		in.log.Error("restart failed", zap.Error(err))
+		in.log.Error("restart failed", observe.Error(err))
 		in.restart = time.AfterFunc(announce.Interval, in.reboot)
 	}
 }
--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/raft"
 	"bilberryhub/internal/statemachine"
 	"bilberryhub/internal/wire"
@@ -101,7 +102,7 @@
 		case r.Name == s.settings.ID:
 			id = s.id
 		case !answers[i].noCluster || nameOf(id) != r.Name:
-			s.log.Info("waiting for the first replica set", zap.String("replica", r.Name), zap.Error(answers[i].err))
+			s.log.Info("waiting for the first replica set", zap.String("replica", r.Name), observe.Error(answers[i].err))
 			return
 		}
 		members = append(members, r.withID(id))
--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/raft"
 	"bilberryhub/internal/statemachine"
 	"bilberryhub/internal/wal"
@@ -282,7 +283,7 @@
 		// The log is intact. A later attempt is made, because operators may make
 		// room meanwhile.
 		l.snapshotFrom = l.applied + l.s.settings.SnapshotEntries/10 + 1
-		l.log.Error("snapshot not written", zap.Error(m.err))
+		l.log.Error("snapshot not written", observe.Error(m.err))
 	case m.err != nil:
 		l.err = errors.Annotate(m.err, "save snapshot")
 	default:
--- a/internal/stateserver/repair.go
+++ b/internal/stateserver/repair.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/raft"
 )
 
@@ -32,7 +33,7 @@
 			return
 		case errors.As(err, &behind), errors.Is(err, raft.ErrChangePending):
 		default:
-			l.log.Debug("learner not promoted", zap.String("replica", id), zap.Error(err))
+			l.log.Debug("learner not promoted", zap.String("replica", id), observe.Error(err))
 		}
 	}
 }
@@ -61,7 +62,7 @@
 	}
 	if st.TransferringTo == "" {
 		if err := l.node.TransferLeadership(best, now); err != nil {
-			l.log.Warn("leadership not handed over", zap.String("to", best), zap.Error(err))
+			l.log.Warn("leadership not handed over", zap.String("to", best), observe.Error(err))
 		}
 	}
 	m.reply <- true
--- a/internal/stateserver/server.go
+++ b/internal/stateserver/server.go
@@ -204,7 +204,7 @@
 		return
 	}
 	s.failOnce.Do(func() {
-		s.log.Error("replica stopped", zap.Error(err))
+		s.log.Error("replica stopped", observe.Error(err))
 		s.failure = err
 		close(s.failed)
 		s.cancel()
--- a/internal/stateserver/snapshots.go
+++ b/internal/stateserver/snapshots.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
@@ -33,7 +34,7 @@
 		case m := <-p.snapshots:
 			if err := p.sendSnapshot(ctx, m); err != nil && ctx.Err() == nil {
 				p.t.s.log.Warn("snapshot not delivered", zap.String("peer", p.id),
-					zap.Uint64("index", m.GetSnapshot().GetIndex()), zap.Error(err))
+					zap.Uint64("index", m.GetSnapshot().GetIndex()), observe.Error(err))
 				p.t.s.tell(ctx, snapshotUndelivered{to: p.id})
 			}
 		}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/wirepb"
 )
 
@@ -62,7 +63,7 @@
 			if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			s.log.Warn("accept failed", zap.Error(err))
+			s.log.Warn("accept failed", observe.Error(err))
 			// A short pause keeps a persistent failure, such as a lack of file
 			// descriptors, from using a whole core.
 			time.Sleep(10 * time.Millisecond)
@@ -83,7 +84,7 @@
 	defer session.Close()
 	peer, err := s.handshake(session, conn.RemoteAddr().String())
 	if err != nil {
-		s.log.Warn("handshake failed", zap.String("peer", conn.RemoteAddr().String()), zap.Error(err))
+		s.log.Warn("handshake failed", zap.String("peer", conn.RemoteAddr().String()), observe.Error(err))
 		return
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
