--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/announce"
+	"bilberryhub/internal/observe"
 )
 
 // serveAnnounce takes an announcement when this process is the dispatcher of
@@ -21,14 +22,16 @@
 	var next string
 	err = s.loop.do(hr.Context(), func(c *control) {
 		d, ok := c.peers.Dispatcher(a.FailureDomain, a.Service)
-		if ok && d.ID != s.settings.ID {
+		switch {
+		case !ok || d.ID == s.settings.ID:
+			reply = c.core.Announce(c.now(), a)
+		case c.core.Owns(c.now(), a.FailureDomain, a.Service, a.ID):
+			next = d.HTTPAddress
+			reply = c.core.HandOver(c.now(), a)
+			reply.Next = next
+		default:
 			next = d.HTTPAddress
-			if !c.core.Owns(c.now(), a) {
-				return
-			}
 		}
-		reply = c.core.Announce(c.now(), a)
-		reply.Next = next
 	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -41,6 +44,6 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(reply); err != nil {
-		s.log.Debug("reply to announcement not sent", zap.String("backend_server", a.ID), zap.Error(err))
+		s.log.Debug("reply to announcement not sent", zap.String("backend_server", a.ID), observe.Error(err))
 	}
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/backend"
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/relay"
 	"bilberryhub/internal/wirepb"
@@ -108,6 +109,8 @@
 // dispatch sends r to the granted backend server and relays the answer.
 func (s *Server) dispatch(ctx context.Context, r *request, res *reservation, w answerWriter) outcome {
 	defer res.close()
+	s.open.add(res.dispatcher, res.grant.GetDispatchId())
+	defer s.open.remove(res.dispatcher, res.grant.GetDispatchId())
 	a := &attempt{server: s, req: r, res: res, start: time.Now(), member: res.grant.GetMembers()[0], id: res.grant.GetDispatchId()}
 	a.log = s.log.With(zap.String("request_id", r.id), zap.String("dispatch", a.id), zap.String("backend_server", a.member.GetBackend()))
 	r.setPhase(phaseGranted)
@@ -116,7 +119,7 @@
 	if out.step == wirepb.Progress_STEP_BROKEN {
 		a.examine(&out)
 	}
-	if out.step == wirepb.Progress_STEP_DONE {
+	if out.step == wirepb.Progress_STEP_DONE && res.grant.GetSuspected() {
 		s.clearSuspicion(r)
 	}
 	res.report(out.step, time.Since(a.start), out.tokens)
@@ -208,7 +211,7 @@
 	var failed *backend.Error
 	sent := !errors.As(err, &failed) || failed.Sent
 	out := outcome{sent: sent, step: wirepb.Progress_STEP_NOT_SENT, excluded: a.member.GetBackend()}
-	a.log.Info("dispatch failed", zap.Bool("sent", sent), zap.Error(err))
+	a.log.Info("dispatch failed", zap.Bool("sent", sent), observe.Error(err))
 	switch {
 	case ctx.Err() != nil:
 		out.err = cancelled(ctx, sent)
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
@@ -14,8 +15,9 @@
 
 // reservation is a grant and the way to report on it.
 type reservation struct {
-	reserve *wirepb.Reserve
-	grant   *wirepb.Grant
+	reserve    *wirepb.Reserve
+	dispatcher string
+	grant      *wirepb.Grant
 	// expires is when the permit ends, by the clock of this process.
 	expires time.Time
 	// send reports progress; it does not wait.
@@ -84,11 +86,10 @@
 		res.close()
 		return nil, errors.Errorf("reserve at dispatcher %s: grant names no backend server", dispatcher.id)
 	}
-	// The request was sent before it was queued and granted, so this end is
-	// never later than the one the dispatcher counts with.
-	life := time.Duration(g.GetQueuedMs()+g.GetPermitMs()) * time.Millisecond
-	res.expires = sent.Add(life)
-	res.reserve = m
+	// Reserve was sent before it was received, so this end is never later than
+	// the one the dispatcher counts with.
+	res.expires = sent.Add(time.Duration(g.GetPermitMs()) * time.Millisecond)
+	res.reserve, res.dispatcher = m, dispatcher.id
 	return res, nil
 }
 
@@ -174,7 +175,7 @@
 		grant: grant,
 		send: func(p *wirepb.Progress) {
 			if err := st.Send(&wirepb.Envelope{Body: &wirepb.Envelope_Progress{Progress: p}}); err != nil {
-				s.log.Debug("progress not sent", zap.String("dispatch", p.GetDispatchId()), zap.Error(err))
+				s.log.Debug("progress not sent", zap.String("dispatch", p.GetDispatchId()), observe.Error(err))
 			}
 		},
 		confirm: func() {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -31,12 +31,26 @@
 	"bilberryhub/internal/wire"
 )
 
+// defaultDistance is the added round trip to another failure domain: one way
+// takes 1 to 1.5 ms, and a dispatch needs a round trip to the dispatcher and
+// one to the backend server.
+const defaultDistance = 6 * time.Millisecond
+
 // headerTimeout bounds the time a caller takes to send the headers.
 const headerTimeout = 5 * time.Second
 
+// Options are the parts of a server that tests replace.
+type Options struct {
+	// Dial replaces the dialler of connections to other processes, and
+	// BackendDial that of connections to backend servers.
+	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	BackendDial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Server is one entry process.
 type Server struct {
 	settings    *Settings
+	opts        Options
 	log         *zap.Logger
 	started     time.Time
 	incarnation uint64
@@ -44,6 +58,7 @@
 
 	loop     *loop
 	requests *requestTable
+	open     *openList
 	sync     *configsync.Syncer
 	claims   *claim.Client
 	backends *backend.Client
@@ -68,17 +83,17 @@
 }
 
 // New returns a server that has not started.
-func New(settings *Settings, log *zap.Logger) (*Server, error) {
+func New(settings *Settings, opts Options, log *zap.Logger) (*Server, error) {
 	tlsConfig, err := settings.TLS.Config()
 	if err != nil {
 		return nil, errors.Annotate(err, "TLS settings")
 	}
 	s := &Server{
-		settings: settings, log: log, started: time.Now(), tls: tlsConfig,
+		settings: settings, opts: opts, log: log, started: time.Now(), tls: tlsConfig,
 		// Nanoseconds since the epoch differ for each start, also after a clock
 		// that was set back by less than the time since the last start.
 		incarnation: uint64(time.Now().UnixNano()),
-		loop:        newLoop(), requests: newRequestTable(), backends: backend.NewClient(nil),
+		loop:        newLoop(), requests: newRequestTable(), open: newOpenList(), backends: backend.NewClient(opts.BackendDial),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.abort, s.kill = context.WithCancel(context.Background())
@@ -93,7 +108,7 @@
 			Kind: wire.KindEntry, ID: s.settings.ID,
 			Incarnation: s.incarnation, FailureDomain: s.settings.FailureDomain,
 		},
-		TLS: s.tls,
+		TLS: s.tls, Dial: s.opts.Dial,
 	}
 }
 
@@ -137,7 +152,7 @@
 }
 
 func (s *Server) startControl() {
-	c := &control{server: s, waiters: map[string]chan<- *envelope{}, alive: map[string]uint64{}}
+	c := &control{server: s, waiters: map[string]chan<- *envelope{}, retries: routing.NewRetryBudget()}
 	seed := s.settings.Seed
 	if seed == 0 {
 		seed = s.incarnation
@@ -147,8 +162,10 @@
 		Policy: s.settings.DispatchPolicy, Seed: seed,
 	})
 	c.peers = peers.New(s.selfPeer())
-	c.router = routing.New(routing.Config{FailureDomain: s.settings.FailureDomain, Entry: s.settings.ID})
-	c.core.SetHomes(c)
+	c.router = routing.New(routing.Config{
+		FailureDomain: s.settings.FailureDomain, Entry: s.settings.ID, DefaultDistance: defaultDistance,
+	})
+	c.core.SetHomes(c.router)
 	s.wg.Go(func() { s.loop.run(s.ctx, c) })
 	s.wg.Go(s.heartbeats)
 	if v := s.sync.Current(); v != nil {
@@ -173,11 +190,21 @@
 	}
 	s.loop.post(func(c *control) {
 		c.core.SetView(newView(v))
-		c.core.SetConfigAge(s.sync.Age(time.Now()))
+		c.core.SetConfigAge(s.configAge())
 	})
 	s.log.Info("configuration in force", zap.Uint64("index", v.Index), zap.Uint64("manifest", v.Number))
 }
 
+// configAge returns the age of the configuration in force. One that came from
+// a peer and was never confirmed is stale from the start of the process on.
+func (s *Server) configAge() time.Duration {
+	age := s.sync.Age(time.Now())
+	if age == configsync.NeverFresh {
+		return staleAfter + time.Since(s.started)
+	}
+	return age
+}
+
 func (s *Server) announceMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+announce.Path, s.serveAnnounce)
@@ -191,7 +218,7 @@
 	s.admin.SetDraining()
 	empty := s.requests.drain()
 	s.loop.post(func(c *control) {
-		c.peers.SetDraining()
+		c.peers.SetDraining(true)
 		c.core.ReleasePools(c.now())
 	})
 	s.log.Info("draining", zap.Int("open_requests", s.requests.count()), zap.Duration("limit", s.settings.drain()))
--- a/internal/standin/instance.go
+++ b/internal/standin/instance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bilberryhub/internal/announce"
+	"bilberryhub/internal/observe"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -26,6 +27,7 @@
 	seed    uint64
 
 	mu       sync.Mutex
+	first    uint64
 	number   uint64
 	current  *boot
 	server   *http.Server
@@ -46,7 +48,7 @@
 		first = uint64(time.Now().UnixMilli())
 	}
 	in := &Instance{
-		cfg: cfg, scale: scale, stats: stats, seed: seed, number: first,
+		cfg: cfg, scale: scale, stats: stats, seed: seed, first: first, number: first,
 		log:     log.With(zap.String("instance", cfg.ID)),
 		effects: &effects{runs: map[string]int{}},
 		orders: &orders{
@@ -86,7 +88,7 @@
 	cfg := in.cfg
 	b := &boot{in: in, number: in.number}
 	if cfg.Kind == announce.KindModel {
-		b.engine = newEngine(&cfg, in.scale, in.stats, func(reason string) { in.crash(b, reason) })
+		b.engine = newEngine(&cfg, in.number == in.first, in.scale, in.stats, func(reason string) { in.crash(b, reason) })
 	} else {
 		b.plain = &plain{open: map[string]int{}}
 	}
@@ -206,7 +208,7 @@
 	in.number++
 	if err := in.bootLocked(); err != nil {
 		in.number--
-		in.log.Error("restart failed", zap.Error(err))
+		in.log.Error("restart failed", observe.Error(err))
 		in.restart = time.AfterFunc(announce.Interval, in.reboot)
 	}
 }
