Serve subscriptions with probes

The state server ended a subscription at the first probe, so that entry processes changed the state process every half second. It now uses ServeSubscription, which echoes probes and sends a configuration again when the digest of the subscriber differs.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -75,6 +75,8 @@
 	return r.changed
 }
 
+func (r *replica) Sent() {}
+
 func (r *replica) set(index uint64, fresh bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/configsync/serve.go
+++ b/internal/configsync/serve.go
@@ -26,6 +26,8 @@
 	Fresh() bool
 	// Changed returns a channel that is closed at the next change of Config.
 	Changed() <-chan struct{}
+	// Sent is called after each configuration that was sent.
+	Sent()
 }
 
 // feed is one subscription at the state process.
@@ -104,6 +106,7 @@
 			return err
 		}
 		f.known, f.sentAt = now, time.Now()
+		f.source.Sent()
 	}
 	return f.stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigHeartbeat{ConfigHeartbeat: &wirepb.ConfigHeartbeat{
 		Index: c.GetIndex(), Digest: c.GetDigest(), Fresh: fresh, Probe: f.probe,
--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -6,8 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
+	"bilberryhub/internal/configsync"
 	"bilberryhub/internal/invariant"
 	"bilberryhub/internal/raft"
 	"bilberryhub/internal/wire"
@@ -156,44 +155,15 @@
 // subscribe answers a Subscribe call. A subscriber that is slow or was away
 // gets the latest configuration only.
 func (s *Server) subscribe(ctx context.Context, st *wire.Stream, sub *wirepb.Subscribe) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	// The subscriber sends nothing more, so the end of its side of the stream
-	// is the end of the subscription.
-	go func() {
-		_, _ = st.Recv()
-		cancel()
-	}()
 	s.metrics.subscribers.Inc()
 	defer s.metrics.subscribers.Dec()
-	ticker := time.NewTicker(configHeartbeatInterval)
-	defer ticker.Stop()
-	known, digest := sub.GetKnownIndex(), sub.GetKnownDigest()
-	for {
-		pub := s.published.Load()
-		// A configuration below the known one is never sent, because an
-		// accepted configuration must not revert.
-		if c := pub.config; c.GetIndex() > known || (c.GetIndex() == known && c.GetDigest() != digest) {
-			if err := st.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigSnapshot{ConfigSnapshot: c}}); err != nil {
-				return errors.Trace(err)
-			}
-			known, digest = c.GetIndex(), c.GetDigest()
-			s.metrics.configsSent.Inc()
-		}
-		if err := st.Send(s.heartbeat(pub)); err != nil {
-			return errors.Trace(err)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-pub.changed:
-		case <-ticker.C:
-		}
-	}
+	return configsync.ServeSubscription(ctx, st, sub, source{s})
 }
 
-func (s *Server) heartbeat(pub *publication) *wirepb.Envelope {
-	return &wirepb.Envelope{Body: &wirepb.Envelope_ConfigHeartbeat{ConfigHeartbeat: &wirepb.ConfigHeartbeat{
-		Index: pub.config.GetIndex(), Digest: pub.config.GetDigest(), Fresh: s.fresh(),
-	}}}
-}
+// source is what subscribers are served.
+type source struct{ s *Server }
+
+func (c source) Config() *wirepb.ConfigSnapshot { return c.s.published.Load().config }
+func (c source) Changed() <-chan struct{}       { return c.s.published.Load().changed }
+func (c source) Fresh() bool                    { return c.s.fresh() }
+func (c source) Sent()                          { c.s.metrics.configsSent.Inc() }
