Test and measure the state server under faults

Cause: the promises about configuration and claims depend on how replicas return from a partition and from the loss of a disk.

--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -58,6 +58,7 @@
 		default:
 		}
 		s.joinRound(ctx)
+		s.metrics.joinRounds.Inc()
 		if !sleep(ctx, joinInterval) {
 			return
 		}
--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -63,7 +64,14 @@
 	if rec.Snapshot == nil {
 		l.forming = &forming{done: make(chan struct{})}
 	}
-	return l, l.startNode(raft.InitialState{HardState: rec.HardState, Snapshot: rec.Snapshot, Entries: rec.Entries})
+	if err := l.startNode(raft.InitialState{HardState: rec.HardState, Snapshot: rec.Snapshot, Entries: rec.Entries}); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if st := l.node.Status(l.now()); l.forming == nil && !slices.Contains(slices.Concat(st.Voters, st.Learners), s.id) {
+		l.log.Error("this disk belongs to no member of its cluster; move the data folder away to join with a new identity",
+			zap.String("replica", s.id), zap.Strings("voters", st.Voters), zap.Strings("retired", st.Retired))
+	}
+	return l, nil
 }
 
 func (l *loop) startNode(init raft.InitialState) error {
--- a/internal/stateserver/metrics.go
+++ b/internal/stateserver/metrics.go
@@ -20,6 +20,9 @@
 	applied       *metrics.Gauge
 	configIndex   *metrics.Gauge
 	leader        *metrics.Gauge
+	// learners is set by the leader: above 0, a repair is not complete.
+	learners   *metrics.Gauge
+	joinRounds *metrics.Counter
 }
 
 func newServerMetrics(name string) *serverMetrics {
@@ -36,6 +39,8 @@
 		applied:       gauge("applied_index"),
 		configIndex:   gauge("config_index"),
 		leader:        gauge("is_leader"),
+		learners:      gauge("learners"),
+		joinRounds:    metrics.GetOrCreateCounter(label("join_rounds_total")),
 	}
 }
 
--- a/internal/stateserver/repair.go
+++ b/internal/stateserver/repair.go
@@ -23,7 +23,9 @@
 		return
 	}
 	l.repair.next = now + promoteInterval
-	for _, id := range l.node.Status(now).Learners {
+	learners := l.node.Status(now).Learners
+	l.s.metrics.learners.Set(float64(len(learners)))
+	for _, id := range learners {
 		_, _, err := l.node.ProposeMembership(raft.Change{Kind: raft.Promote, ID: id}, now)
 		var behind raft.ErrLearnerBehind
 		switch {
@@ -38,14 +40,14 @@
 }
 
 // handover asks the loop to give up the leadership. The reply says whether the
-// replica still leads.
+// replica still leads or has proposals without outcome.
 type handover struct{ reply chan<- bool }
 
 func (m handover) handle(l *loop) {
 	now := l.now()
 	st := l.node.Status(now)
 	if st.Role != raft.Leader {
-		m.reply <- false
+		m.reply <- len(l.waiters) > 0
 		return
 	}
 	best, match := "", uint64(0)
--- a/internal/stateserver/server.go
+++ b/internal/stateserver/server.go
@@ -212,8 +212,8 @@
 }
 
 // Drain hands over the leadership, so that a planned stop interrupts proposals
-// for less than an election. It returns when the replica no longer leads, or
-// after the time limit of ctx.
+// for less than an election. It returns when the replica no longer leads
+// and has answered its proposals, or after the time limit of ctx.
 func (s *Server) Drain(ctx context.Context) {
 	if s.admin != nil {
 		s.admin.SetDraining()
--- a/internal/stateserver/server_test.go
+++ b/internal/stateserver/server_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 
+	"bilberryhub/internal/statemachine"
 	"bilberryhub/internal/wirepb"
 )
 
@@ -12,6 +15,8 @@
 	snapshots []*wirepb.ConfigSnapshot
 	fresh     bool
 	index     uint64
+	// heartbeats is the number of heartbeats received.
+	heartbeats int
 }
 
 // until reads the subscription to the named replica until cond holds.
@@ -37,6 +42,7 @@
 		}
 		if hb := env.GetConfigHeartbeat(); hb != nil {
 			sub.fresh, sub.index = hb.GetFresh(), hb.GetIndex()
+			sub.heartbeats++
 		}
 	}
 	return sub
@@ -60,3 +66,155 @@
 		}
 	}
 }
+
+// TestAwaySubscriber guards against a replay of every change to a subscriber
+// that was away for hundreds of them.
+func TestAwaySubscriber(t *testing.T) {
+	const changes = 300
+	c := newCluster(t, 3)
+	c.startAll()
+	client := c.client(c.leader())
+	first := c.mustPropose(client, order("order-1", 1, true))
+	seen := c.until(c.leader(), 0, 0, func(s *subscriber) bool { return s.index == first.GetIndex() })
+	known := seen.snapshots[len(seen.snapshots)-1]
+	var last *wirepb.Result
+	for n := uint64(2); n <= changes; n++ {
+		last = c.mustPropose(client, order(fmt.Sprintf("order-%d", n), n, n%2 == 1))
+	}
+	for name := range c.servers {
+		c.await("application of all changes", func() bool {
+			return c.servers[name].published.Load().config.GetIndex() == last.GetIndex()
+		})
+		sub := c.until(name, known.GetIndex(), known.GetDigest(), func(s *subscriber) bool { return s.heartbeats >= 3 })
+		if len(sub.snapshots) != 1 || sub.snapshots[0].GetIndex() != last.GetIndex() {
+			t.Fatalf("%s sent %d snapshots after %d changes", name, len(sub.snapshots), changes)
+		}
+	}
+}
+
+// TestPartition guards against a leader that is cut off and still answers or
+// calls its configuration confirmed, and against one that reverts afterwards.
+func TestPartition(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll()
+	old := c.leader()
+	c.mustPropose(c.client(old), order("order-1", 1, true))
+	c.isolate(old, true)
+	var now *wirepb.Result
+	c.await("a change on the side of the majority", func() bool {
+		now, _ = propose(c.client(c.others(old)[0]), order("order-2", 2, false))
+		return now != nil
+	})
+	c.await("the isolated leader to lose its lease", func() bool { return !c.servers[old].fresh() })
+	if r, code := propose(c.client(old), order("order-3", 3, true)); r != nil {
+		t.Fatalf("isolated replica answered %v", r)
+	} else if code != codeNoQuorum && code != codeNoLeader {
+		t.Fatalf("isolated follower failed with %q, although it cannot have proposed", code)
+	}
+	if got := c.servers[old].published.Load().config.GetIndex(); got >= now.GetIndex() {
+		t.Fatalf("isolated replica has configuration %d", got)
+	}
+	c.isolate(old, false)
+	sub := c.until(old, 0, 0, func(s *subscriber) bool { return s.index >= now.GetIndex() && s.fresh })
+	for i := 1; i < len(sub.snapshots); i++ {
+		if sub.snapshots[i].GetIndex() < sub.snapshots[i-1].GetIndex() {
+			t.Fatalf("configuration reverted from %d to %d", sub.snapshots[i-1].GetIndex(), sub.snapshots[i].GetIndex())
+		}
+	}
+}
+
+// TestLostAnswers guards against a claim that is granted twice or lost when its
+// proposal is sent again because the leader was lost before it answered.
+func TestLostAnswers(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll()
+	for round := range 4 {
+		leader := c.leader()
+		key := fmt.Sprintf("key-%d", round)
+		mine, theirs := claim(key, "mine-"+key), claim(key, "theirs-"+key)
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			_, _ = propose(c.client(leader), mine)
+		}()
+		c.stop(leader)
+		<-answered
+		client := c.client(c.others(leader)[0])
+		first := c.mustPropose(client, mine)
+		again := c.mustPropose(client, mine)
+		if !first.GetClaim().GetHeld() || again.GetIndex() != first.GetIndex() || !again.GetClaim().GetHeld() {
+			t.Fatalf("claim %s: first %v, again %v", key, first, again)
+		}
+		if r := c.mustPropose(client, theirs); r.GetCode() == "" || r.GetClaim().GetHeld() {
+			t.Fatalf("claim %s granted twice: %v", key, r)
+		}
+		c.start(leader)
+	}
+}
+
+// TestRacingOperators guards against two manifests with one number in force.
+func TestRacingOperators(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll()
+	c.leader()
+	results := make([]*wirepb.Result, 9)
+	var wg sync.WaitGroup
+	for i := range results {
+		client := c.client(c.replicas[i%3].Name)
+		wg.Go(func() {
+			for results[i] == nil {
+				results[i], _ = propose(client, manifestCommand(fmt.Sprintf("apply-%d", i), 7, i))
+			}
+		})
+	}
+	wg.Wait()
+	accepted := -1
+	for i, r := range results {
+		switch {
+		case r.GetCode() == "" && accepted < 0:
+			accepted = i
+		case r.GetCode() != statemachine.CodeManifestConflict || r.GetNumberInForce() != 7:
+			t.Fatalf("operator %d got %v after operator %d was accepted", i, r, accepted)
+		}
+	}
+	r := c.mustPropose(c.client(c.leader()), manifestCommand("again", 7, accepted))
+	if r.GetCode() != "" || !r.GetAlready() {
+		t.Fatalf("resent manifest of the accepted operator: %v", r)
+	}
+}
+
+// TestPlannedStop guards against an interruption of proposals by the planned
+// stop of each replica in turn.
+func TestPlannedStop(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll()
+	for round := range uint64(3) {
+		leader := c.leader()
+		client := c.client(c.others(leader)[0])
+		stopped := make(chan error, 1)
+		go func() { stopped <- c.servers[leader].Stop() }()
+		for n := range uint64(50) {
+			id := fmt.Sprintf("order-%d-%d", round, n)
+			if _, code := propose(client, order(id, round*50+n+1, n%2 == 0)); code != "" {
+				t.Fatalf("proposal %s failed with %q", id, code)
+			}
+		}
+		if err := <-stopped; err != nil {
+			t.Fatal(err)
+		}
+		c.start(leader)
+	}
+}
+
+func manifestCommand(id string, number uint64, weight int) *wirepb.Command {
+	content := fmt.Sprintf(testManifest, number, weight+1)
+	return &wirepb.Command{Id: id, Body: &wirepb.Command_ApplyManifest{
+		ApplyManifest: &wirepb.ApplyManifest{Number: number, Content: []byte(content)},
+	}}
+}
+
+const testManifest = `{
+  "number": %d, "isolated_serving_seconds": %d, "failure_domains": [{"name": "north", "region": "luzon"}],
+  "urgencies": [{"name": "urgent", "priority": 0}],
+  "services": [{"name": "drafts", "kind": "model", "models": ["drafts"]}], "accounts": []
+}`
