Send no configuration before one was accepted

Cause: a subscriber without configuration got an empty one at index 0.

Change: index 0 is never sent; heartbeats still name it.

Conclusion: go test -race -run 'Settings|Away' passed before and after.

--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -171,9 +171,7 @@
 	known, digest := sub.GetKnownIndex(), sub.GetKnownDigest()
 	for {
 		pub := s.published.Load()
-		// A configuration below the known one is never sent, because an
-		// accepted configuration must not revert.
-		if c := pub.config; c.GetIndex() > known || (c.GetIndex() == known && c.GetDigest() != digest) {
+		if c := pub.config; mustSend(c, known, digest) {
 			if err := st.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigSnapshot{ConfigSnapshot: c}}); err != nil {
 				return errors.Trace(err)
 			}
@@ -192,6 +190,13 @@
 	}
 }
 
+// mustSend reports whether the subscriber needs c. A configuration below the
+// known one is never sent, because an accepted configuration must not revert.
+// Index 0 means that no manifest or order was accepted yet.
+func mustSend(c *wirepb.ConfigSnapshot, known, digest uint64) bool {
+	return c.GetIndex() > known || (c.GetIndex() == known && c.GetIndex() > 0 && c.GetDigest() != digest)
+}
+
 func (s *Server) heartbeat(pub *publication) *wirepb.Envelope {
 	return &wirepb.Envelope{Body: &wirepb.Envelope_ConfigHeartbeat{ConfigHeartbeat: &wirepb.ConfigHeartbeat{
 		Index: pub.config.GetIndex(), Digest: pub.config.GetDigest(), Fresh: s.fresh(),
