--- a/internal/configsync/serve.go
+++ b/internal/configsync/serve.go
@@ -100,8 +100,9 @@
 	// Fresh is read first: what is applied afterwards is at least as new.
 	fresh := f.source.Fresh()
 	c := f.source.Config()
-	// A replica that is behind its subscriber has nothing to offer.
-	if now := (known{c.GetIndex(), c.GetDigest()}); now != f.known && now.index >= f.known.index {
+	// A replica that is behind its subscriber has nothing to offer, and index 0
+	// means that no manifest or order was accepted yet.
+	if now := (known{c.GetIndex(), c.GetDigest()}); now != f.known && now.index >= f.known.index && now.index > 0 {
 		if err := f.stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigSnapshot{ConfigSnapshot: c}}); err != nil {
 			return err
 		}
