Measure prefill speed by work and give short requests more engines

Change: speed samples are weighted by work and keep the fixed time; the boundary adapts within a factor of two; 90% of the proportional number of engines takes long prefills; a budget does not grow while reports say cold.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -25,6 +25,7 @@
 	limit    int
 	answered int // responses within target since the last change of the limit
 	slow     int // slow first tokens in a row
+	saysCold bool
 	resets   int
 	why      string
 }
@@ -66,14 +67,15 @@
 // Boot tells the boot number of the backend server. A new one resets the budget.
 func (b *Budget) Boot(boot uint64) {
 	if boot != b.boot {
-		b.boot = boot
+		b.boot, b.saysCold = boot, false
 		b.reset("boot")
 	}
 }
 
-// Reported takes the state from a load report. A report that says cold resets
-// the budget, each time.
+// Reported takes the state from a load report. A report that says cold resets the
+// budget, each time, and keeps it from growing until a report says otherwise.
 func (b *Budget) Reported(cold bool) {
+	b.saysCold = cold
 	if cold {
 		b.reset("reported cold")
 	}
@@ -96,7 +98,7 @@
 // Answered takes a complete response. One outside the target starts the count
 // of the current budget anew.
 func (b *Budget) Answered(withinTarget bool) {
-	if !withinTarget {
+	if !withinTarget || b.saysCold {
 		b.answered = 0
 		return
 	}
--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -99,7 +99,7 @@
 	b.budget.Boot(boot)
 	b.cache = prefixCache{}
 	b.measured, b.speed = false, 0
-	b.reportAt, b.reported, b.foreignStale = 0, nil, true
+	b.reportAt, b.reportSure, b.reported, b.foreignStale = 0, 0, nil, true
 	clear(b.linger)
 	// The owner of the old boot knows all grants, so nothing needs to be waited for.
 	b.waitUntil, b.provenFrom = 0, 0
@@ -126,13 +126,14 @@
 		return
 	}
 	b.reportAt = at
+	b.reportSure = c.arrival() - announce.MaxDelay - time.Duration(a.Load.AgeMS)*time.Millisecond
 	b.foreignStale = true
 	b.reported = make(map[string]bool, len(a.Load.Open))
 	for _, id := range a.Load.Open {
 		b.reported[id] = true
 	}
 	for id, at := range b.linger {
-		if at < b.reportAt {
+		if at < b.reportSure {
 			delete(b.linger, id)
 		}
 	}
@@ -153,7 +154,7 @@
 		listed := false
 		for _, m := range d.members {
 			r := m.backend
-			listed = listed || r.reported == nil || r.reportAt <= d.startedAt || r.reported[d.id]
+			listed = listed || r.reported == nil || r.reportSure <= d.startedAt || r.reported[d.id]
 		}
 		if !listed {
 			c.free(d, true)
--- a/internal/dispatch/classes.go
+++ b/internal/dispatch/classes.go
@@ -14,17 +14,23 @@
 	shortPrefill = 300 * time.Millisecond
 	// The boundary adapts within these factors of the initial one, so that an
 	// unusual mixture cannot declare very long prompts short or all prompts long.
-	boundaryLow, boundaryHigh = 0.5, 8.0
+	boundaryLow, boundaryHigh = 0.5, 2.0
 	// trafficWindow and maxSamples bound the recent traffic that is considered.
 	trafficWindow = 60 * time.Second
 	maxSamples    = 2048
 	// classesEvery is the period of the adaptation.
 	classesEvery = time.Second
-	// longMargin is the difference between the wanted and the present number of
-	// long engines, in engines, below which nothing changes; classDwell is how
-	// long a difference must last. Both keep engines from changing sides on
-	// every fluctuation of traffic.
-	longMargin = 0.7
+	// longBias leaves more than the proportional number of engines to short
+	// requests: their target is a tail, which rises before their engines are full,
+	// while long prefills wait several seconds anyway.
+	longBias = 0.9
+	// longRounding rounds the number of long engines. It is below one half, because
+	// short requests also use long engines without a long prefill, but not the reverse.
+	longRounding = 0.25
+	// longMargin is how far the wanted number of long engines must be beyond the
+	// rounding, in engines, before it changes; classDwell is how long that must
+	// last. Both keep engines from changing sides on every fluctuation of traffic.
+	longMargin = 0.2
 	classDwell = 3 * time.Second
 	// boundaryMargin is the relative change of the boundary below which it stays.
 	boundaryMargin = 0.2
@@ -121,9 +127,10 @@
 	most := max(1, engines-1)
 	k.long = min(max(1, k.long), most)
 	share := shareAbove(k.samples, uint64(base))
-	wanted := share * float64(engines)
-	target := min(max(1, int(math.Round(wanted))), most)
-	if target == k.long || math.Abs(wanted-float64(k.long)) < longMargin {
+	wanted := longBias * share * float64(engines)
+	target := min(max(1, int(wanted+longRounding)), most)
+	low := float64(k.long) - longRounding - longMargin
+	if target == k.long || (wanted > low && wanted < low+1+2*longMargin) {
 		k.differs = c.now
 	} else if c.now-k.differs >= classDwell {
 		k.long, k.differs = target, c.now
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -26,10 +26,9 @@
 	// maxConfigAge is the age of the configuration up to which pools of other
 	// failure domains are served.
 	maxConfigAge = 3 * time.Second
-	// stallGap is the time without an event after which the process may have been
-	// paused: announcements that are read now may have waited in its buffers.
-	stallGap = 250 * time.Millisecond
-	// roleStall is the pause after which all leases are dropped.
+	// roleStall is the time without a tick after which all leases are dropped: the
+	// process has been paused, and announcements read now may have waited in its
+	// buffers while another dispatcher took over.
 	roleStall = time.Second
 )
 
@@ -68,10 +67,10 @@
 	// startedAt is the time of the first event. An earlier incarnation of this
 	// process cannot have granted anything after it.
 	startedAt time.Duration
-	// lastTick bounds when an announcement read now arrived. During settle after a
-	// pause, arrivedAfter is the time before the pause.
-	lastTick     time.Duration
-	ticked       bool
+	// The last two ticks bound when an announcement that is read now arrived.
+	lastTick, tickBefore time.Duration
+	ticked               bool
+	// During settle after a pause, announcements may be from before it.
 	arrivedAfter time.Duration
 	settleUntil  time.Duration
 	// The configuration was confirmed configAge before configAgeAt.
@@ -153,7 +152,10 @@
 // Tick runs the systems over all tables. It should be called at least every 50 ms.
 func (c *Core) Tick(now time.Duration) {
 	c.advance(now)
-	c.lastTick, c.ticked = c.now, true
+	c.tickBefore, c.lastTick = c.lastTick, c.now
+	if !c.ticked {
+		c.tickBefore, c.ticked = c.now, true
+	}
 	c.expireDispatches()
 	c.expireBackends()
 	c.expireEnded()
@@ -174,26 +176,18 @@
 		c.configAgeAt = now
 	}
 	c.now = max(c.now, now)
-	if c.ticked && c.now-c.lastTick > stallGap {
+	if c.ticked && c.now-c.lastTick > roleStall && !c.off.stall {
 		c.stalled()
 	}
 }
 
-// stalled handles a pause of the process. Announcements that arrived during the
-// pause count from its start, and after a long pause nothing is granted until
+// stalled drops all leases after a pause of the process. Nothing is granted until
 // the buffers have been read.
 func (c *Core) stalled() {
-	if c.off.stall {
-		return
-	}
-	if c.now >= c.settleUntil {
-		c.arrivedAfter = c.lastTick
-	}
-	gap := c.now - c.lastTick
-	c.lastTick, c.settleUntil = c.now, c.now+announce.MaxDelay
-	if gap <= roleStall {
-		return
+	if c.lastTick >= c.settleUntil {
+		c.arrivedAfter = c.tickBefore
 	}
+	c.lastTick, c.tickBefore, c.settleUntil = c.now, c.now, c.now+announce.MaxDelay
 	for _, p := range c.poolOrder {
 		for _, b := range p.order {
 			b.lease = 0
@@ -202,8 +196,8 @@
 	}
 }
 
-// arrival returns the earliest time at which an announcement read now may have
-// arrived. Leases count from it.
+// arrival returns the earliest time at which an announcement that is read now may
+// have arrived. Leases count from it.
 func (c *Core) arrival() time.Duration {
 	switch {
 	case !c.ticked || c.off.stall:
@@ -211,7 +205,7 @@
 	case c.now < c.settleUntil:
 		return c.arrivedAfter
 	}
-	return c.lastTick
+	return c.tickBefore
 }
 
 // mayServe tells whether new work may be granted in a failure domain, and why not.
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -13,8 +13,8 @@
 	remainingFloor = 0.1
 	// firstTokenBase is the time to a first token beyond the prefill itself.
 	firstTokenBase = 50 * time.Millisecond
-	// minSpeedSample is the smallest prompt that measures the prefill speed; with
-	// shorter ones fixed costs dominate.
+	// minSpeedSample is the least work that measures the prefill speed, in tokens;
+	// with less, fixed times dominate.
 	minSpeedSample = 500
 	// initialHold is assumed for the time from grant to end until one is measured.
 	initialHold = 2 * time.Second
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -14,11 +14,16 @@
 // estimate of the work ahead may be wrong.
 const speedStep = 2
 
+// speedWeight is the prefill work, in tokens, whose measurement counts as much as
+// the speed known before.
+const speedWeight = 20000
+
 // firstToken takes the measured time to the first token.
 func (c *Core) firstToken(d *dispatch, took time.Duration) {
 	if d.state != stateStarted {
 		return
 	}
+	took = c.sinceGrant(d, took)
 	d.state, d.ttft = statePrefilled, took
 	for _, m := range d.members {
 		m.backend.dropPending(d)
@@ -36,19 +41,26 @@
 	}
 }
 
+// sinceGrant bounds a reported duration by the time since the grant, so that time
+// spent in the queue is never taken for slowness of the backend server.
+func (c *Core) sinceGrant(d *dispatch, elapsed time.Duration) time.Duration {
+	return min(elapsed, c.now-d.grantedAt)
+}
+
 func (c *Core) measureSpeed(b *backend, d *dispatch, took time.Duration) {
-	if took <= firstTokenBase || d.members[0].prefill < minSpeedSample {
+	if took <= 0 || d.workAhead < minSpeedSample {
 		return
 	}
 	old := c.speedOf(b)
-	sample := d.workAhead / (took - firstTokenBase).Seconds()
-	b.speed = average(old, min(max(sample, old/speedStep), old*speedStep))
+	sample := min(max(d.workAhead/took.Seconds(), old/speedStep), old*speedStep)
+	// Long prefills measure better, because fixed times matter less.
+	b.speed = old + (sample-old)*d.workAhead/(d.workAhead+speedWeight)
 	b.measured = true
 }
 
 // done takes a complete response.
 func (c *Core) done(d *dispatch, m *wirepb.Progress) {
-	took := time.Duration(m.ElapsedMs) * time.Millisecond
+	took := c.sinceGrant(d, time.Duration(m.ElapsedMs)*time.Millisecond)
 	if d.ttft == 0 {
 		d.ttft = took
 	}
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -79,10 +79,10 @@
 		return refusal.New(refusal.RequestSuspected, "two backend servers crashed running this request").After(left)
 	}
 	d.suspect = c.suspected(d)
-	d.long = c.isLong(p, d.req.PromptTokens)
 	if !c.policy.queues() {
 		return nil
 	}
+	d.long = c.isLong(p, d.req.PromptTokens)
 	if e := c.admitTime(p, d); e != nil {
 		return e
 	}
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -50,14 +50,17 @@
 	// down is set when an entry process reported a crash, until the next announcement.
 	down bool
 
-	reportAt time.Duration // when the load report was taken
-	reported map[string]bool
-	budget   *coldstart.Budget
-	reserved uint64
-	open     map[string]*dispatch
-	cache    prefixCache
-	speed    float64 // prefill speed, in tokens/s; zero if unknown
-	measured bool
+	// reportAt estimates when the load report was taken; reportSure is the earliest
+	// possible moment, for conclusions that must not be wrong.
+	reportAt   time.Duration
+	reportSure time.Duration
+	reported   map[string]bool
+	budget     *coldstart.Budget
+	reserved   uint64
+	open       map[string]*dispatch
+	cache      prefixCache
+	speed      float64 // prefill speed, in tokens/s; zero if unknown
+	measured   bool
 	// pending lists the dispatches without a first token in order of their grants.
 	pending []*dispatch
 	// linger holds requests that ended here but may still run, until a report
