--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -86,7 +86,7 @@
 // candidate tells whether a request may be granted a backend server now, apart
 // from memory.
 func (c *Core) candidate(b *backend, d *dispatch) bool {
-	if ok, _ := c.usable(b); !ok || !b.serves(d.req.Model) || excludes(d, b) {
+	if ok, _ := c.usable(b); !ok || !b.serves(d.req.Model) || c.avoids(d, b) {
 		return false
 	}
 	if c.outstanding(b) >= c.slotLimit(b) || !c.suspicionAllows(b, d) {
@@ -95,6 +95,21 @@
 	return b.plain() || c.workAhead(b) <= maxBacklog.Seconds()*c.speedOf(b)
 }
 
+// avoids tells whether another backend server should be tried after a failed
+// attempt on b. Without another one, the same one is tried again: a connection
+// that broke once says little about it.
+func (c *Core) avoids(d *dispatch, b *backend) bool {
+	if !excludes(d, b) {
+		return false
+	}
+	for _, other := range d.pool.order {
+		if ok, _ := c.usable(other); ok && other.serves(d.req.Model) && !excludes(d, other) {
+			return true
+		}
+	}
+	return false
+}
+
 func excludes(d *dispatch, b *backend) bool {
 	for _, id := range d.req.Exclude {
 		if id == b.id {
