--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -55,7 +55,10 @@
 func (c *Core) takeOwnership(b *backend, a *announce.Announcement) {
 	s := c.service(b.pool)
 	fresh := b.last == nil
-	b.last, b.down = a, false
+	b.last = a
+	if a.Boot != b.boot || c.arrival() >= b.downAt+announce.MaxDelay {
+		b.down = false
+	}
 	full := b.maxConcurrent(s)
 	if fresh {
 		b.boot = a.Boot
@@ -119,10 +122,11 @@
 	return true
 }
 
-// takeReport stores a load report unless an earlier announcement carried it.
+// takeReport stores a load report unless an earlier announcement carried a newer one.
 func (c *Core) takeReport(b *backend, a *announce.Announcement) {
 	at := c.now - time.Duration(a.Load.AgeMS)*time.Millisecond
-	if b.reported != nil && at <= b.reportAt {
+	b.cache.apply(a.Load.CacheEvents, c.off.gapCheck)
+	if b.reported != nil && at < b.reportAt {
 		return
 	}
 	b.reportAt = at
@@ -141,7 +145,6 @@
 	if !b.measured && a.Load.PrefillTokensPerSecond > 0 {
 		b.speed = a.Load.PrefillTokensPerSecond
 	}
-	b.cache.apply(a.Load.CacheEvents, c.off.gapCheck)
 }
 
 // reconcile frees dispatches of lost entry processes that a report newer than
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -50,7 +50,7 @@
 	if c.off.coldBudget || !b.budget.Cold() {
 		return full
 	}
-	if b.reportSure < b.provenFrom {
+	if b.provenFrom > 0 && b.reportSure < b.provenFrom {
 		// The report does not yet show all that an earlier owner started.
 		return 0
 	}
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -183,7 +183,7 @@
 func (c *Core) crashed(d *dispatch, m *wirepb.Progress) {
 	for _, mb := range d.members {
 		if mb.backend.id == m.Backend && mb.backend.boot == m.Boot {
-			mb.backend.down = true
+			mb.backend.down, mb.backend.downAt = true, c.now
 		}
 	}
 	c.free(d, true)
@@ -254,7 +254,7 @@
 	for _, p := range c.poolOrder {
 		for _, b := range p.order {
 			if b.id == m.Backend && b.boot == m.Boot {
-				b.down = true
+				b.down, b.downAt = true, c.now
 			}
 		}
 		c.drainQueue(p)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -8,6 +8,10 @@
 	"bilberryhub/internal/wirepb"
 )
 
+// noBackendRetry is the Retry-After of a pool without any backend server: about the
+// time in which backend servers find a new dispatcher.
+const noBackendRetry = 2 * time.Second
+
 // Reserve takes a request for a backend server. The answer is a Grant or a
 // Refuse among the actions, at once or later.
 func (c *Core) Reserve(now time.Duration, r *wirepb.Reserve) {
@@ -111,12 +115,18 @@
 
 // nextBackend estimates when a pool without a usable backend server has one.
 func (c *Core) nextBackend(p *pool) time.Duration {
-	next := 2 * time.Second
+	next := time.Duration(0)
 	for _, b := range p.order {
-		if c.now < b.waitUntil && c.now < b.lease && !b.last.Leaving {
-			next = min(next, b.waitUntil-c.now)
+		if c.now >= b.waitUntil || c.now >= b.lease || b.last.Leaving {
+			continue
+		}
+		if left := b.waitUntil - c.now; next == 0 || left < next {
+			next = left
 		}
 	}
+	if next == 0 {
+		return noBackendRetry
+	}
 	return next
 }
 
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -67,7 +67,8 @@
 	if !c.suspected(d) {
 		return true
 	}
-	if len(c.running[string(d.req.Fingerprint)]) > 0 {
+	fp := string(d.req.Fingerprint)
+	if len(c.running[fp]) > 0 || !c.suspects.Settled(c.now, fp) {
 		return false
 	}
 	for _, x := range b.open {
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -47,8 +47,10 @@
 	// provenFrom is the moment from which a load report must be to show all that
 	// an earlier owner started.
 	provenFrom time.Duration
-	// down is set when an entry process reported a crash, until the next announcement.
-	down bool
+	// down is set when an entry process reported a crash, until an announcement that
+	// was sent later or that has a new boot number.
+	down   bool
+	downAt time.Duration
 
 	// reportAt estimates when the load report was taken; reportSure is the earliest
 	// possible moment, for conclusions that must not be wrong.
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -17,6 +17,8 @@
 	Memory = 10 * time.Minute
 	// Quarantine is the number of crashes after which a fingerprint is refused.
 	Quarantine = 2
+	// settle is the least time between a crash and the next run of a suspect.
+	settle = time.Second
 	// maxFingerprints bounds the table. The oldest evidence is dropped first.
 	maxFingerprints = 65536
 	// maxProven bounds the fingerprints that are remembered as harmless.
@@ -106,6 +108,14 @@
 // Suspect tells whether a fingerprint is under suspicion.
 func (t *Table) Suspect(fingerprint string) bool { return t.Count(fingerprint) > 0 }
 
+// Settled tells whether the last crash of a fingerprint is old enough for a next
+// run. Copies that ran in other failure domains at that time have crashed by then,
+// and their crashes count.
+func (t *Table) Settled(now time.Duration, fingerprint string) bool {
+	r := t.records[fingerprint]
+	return r == nil || now-r.last >= settle
+}
+
 // Quarantined tells whether a fingerprint is refused, and for how much longer.
 func (t *Table) Quarantined(now time.Duration, fingerprint string) (time.Duration, bool) {
 	if t.Count(fingerprint) < Quarantine {
