Count a reported crash at once

Change: the dispatcher records the crash with the report itself; whether it is attributed to the request alone is decided by its state at the grant.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -229,7 +229,7 @@
 
 // grant reserves the members and answers the entry process.
 func (c *Core) grant(d *dispatch, members []member) {
-	d.state, d.grantedAt = stateGranted, c.now
+	d.state, d.grantedAt, d.sole = stateGranted, c.now, c.suspected(d)
 	first := members[0].backend
 	d.workAhead = c.workAhead(first) + members[0].prefill
 	d.estimate = c.estimateFirst(members)
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -180,7 +180,10 @@
 	}
 }
 
+// crashed takes the report of a crash. It counts at once: the broadcast of the same
+// crash may arrive after a next copy of the request would have been granted.
 func (c *Core) crashed(d *dispatch, m *wirepb.Progress) {
+	c.suspects.Crashed(c.now, string(d.req.Fingerprint), suspicion.Crash{Backend: m.Backend, Boot: m.Boot}, d.sole)
 	for _, mb := range d.members {
 		if mb.backend.id == m.Backend && mb.backend.boot == m.Boot {
 			mb.backend.down, mb.backend.downAt = true, c.now
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -6,6 +6,11 @@
 	"bilberryhub/internal/refusal"
 )
 
+// Suspected tells whether a fingerprint is under suspicion. An entry process asks
+// before it starts a request: a crash of a request that was under suspicion then is
+// attributed to it alone (Suspect.sole).
+func (c *Core) Suspected(fingerprint []byte) bool { return c.suspects.Suspect(string(fingerprint)) }
+
 func (c *Core) suspected(d *dispatch) bool {
 	return !c.off.suspicion && len(d.req.Fingerprint) > 0 && c.suspects.Suspect(string(d.req.Fingerprint))
 }
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -108,6 +108,7 @@
 	target  time.Duration // target for the time to first token
 	long    bool
 	suspect bool
+	sole    bool // was under suspicion when it was granted
 	lost    bool // the entry process is gone
 	overdue bool // one tick has seen the deadline pass
 	missing int  // consecutive OpenRequests without this dispatch
