--- /dev/null
+++ b/internal/coldstart/coldstart_test.go
@@ -0,0 +1,78 @@
+package coldstart
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// Guards against growth without proof and against a missed fall to cold. Each
+// input line is one event; the output is the limit after it.
+func TestBudget(t *testing.T) {
+	datadriven.RunTest(t, "testdata/budget", func(t *testing.T, d *datadriven.TestData) string {
+		var declared, announced uint32
+		full := 0
+		d.ScanArgs(t, "declared", &declared)
+		d.ScanArgs(t, "announced", &announced)
+		d.ScanArgs(t, "full", &full)
+		b := New(1, declared, announced, full)
+		var out strings.Builder
+		fmt.Fprintf(&out, "new: %d\n", b.Limit())
+		for line := range strings.Lines(d.Input) {
+			line = strings.TrimSpace(line)
+			event, n := line, 0
+			if _, err := fmt.Sscanf(line, "%s %d", &event, &n); err != nil {
+				n = 1
+			}
+			switch event {
+			case "answered", "late":
+				for range n {
+					b.Answered(event == "answered")
+				}
+			case "first":
+				b.FirstToken(time.Duration(n)*time.Millisecond, 100*time.Millisecond)
+			case "cold":
+				b.Reported(n == 1)
+			case "boot":
+				b.Boot(uint64(n))
+			case "assume":
+				b.Assume(n)
+			case "full":
+				b.SetLimits(declared, announced, n)
+			default:
+				t.Fatalf("unknown event %q", line)
+			}
+			fmt.Fprintf(&out, "%s: %d\n", line, b.Limit())
+		}
+		return out.String()
+	})
+}
+
+// Guards against a budget beyond what the responses within target have proven.
+func TestBudgetNeverExceedsProof(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		cold := 1 + rng.IntN(4)
+		b := New(1, uint32(cold), 0, 64)
+		proven, limit := 0, cold
+		for range 500 {
+			switch rng.IntN(12) {
+			case 0:
+				b.Boot(rng.Uint64())
+				proven, limit = 0, cold
+			default:
+				b.Answered(true)
+				if proven++; proven >= limit {
+					proven, limit = 0, min(64, 2*limit)
+				}
+			}
+			if b.Limit() > limit {
+				t.Fatalf("seed %d: limit %d, proven %d", seed, b.Limit(), limit)
+			}
+		}
+	}
+}
