--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -50,7 +50,7 @@
 	if c.off.coldBudget || !b.budget.Cold() {
 		return full
 	}
-	if b.reportSure < b.provenFrom {
+	if b.provenFrom > 0 && b.reportSure < b.provenFrom {
 		// The report does not yet show all that an earlier owner started.
 		return 0
 	}
@@ -244,7 +244,7 @@
 
 // grant reserves the members and answers the entry process.
 func (c *Core) grant(d *dispatch, members []member) {
-	d.state, d.grantedAt = stateGranted, c.now
+	d.state, d.grantedAt, d.sole = stateGranted, c.now, c.suspected(d)
 	first := members[0].backend
 	d.workAhead = c.workAhead(first) + members[0].prefill
 	d.estimate = c.estimateFirst(members)
