Let a budget that has not grown follow the cold limit

Cause: an announcement that arrives before the manifest left the budget at one request although the manifest allows eight, so four streams ran one after the other (seen in the state dump).

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -36,20 +36,24 @@
 func New(boot uint64, declared, announced uint32, full int) *Budget {
 	b := &Budget{boot: boot, why: "start"}
 	b.SetLimits(declared, announced, full)
-	b.limit = b.cold
 	return b
 }
 
-// SetLimits changes the cold limit and the full limit. The budget in use only
-// shrinks by this.
+// SetLimits changes the cold limit and the full limit. A budget that has not
+// grown follows the cold limit: the first announcement may arrive before the
+// configuration that states it.
 func (b *Budget) SetLimits(declared, announced uint32, full int) {
 	cold := int(declared)
 	if cold == 0 || (announced > 0 && announced < declared) {
 		cold = int(announced)
 	}
+	grown := b.limit > b.cold
 	b.full = max(1, full)
 	b.cold = min(max(1, cold), b.full)
-	b.limit = min(b.limit, b.full)
+	if !grown {
+		b.limit = b.cold
+	}
+	b.limit = min(max(b.limit, b.cold), b.full)
 }
 
 // Limit returns how many requests the backend server may hold at once.
