Keep the ports of the demo below those of outgoing connections

Cause: a state process found its port taken by an outgoing connection, and the first replica set was never formed; the waits of the demo took minutes. Change: port ranges end below 32768; waits are bounded by time.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,12 +4,12 @@
 # HOLD=1 leaves the set-up running until the script is interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+TIME_SCALE=${TIME_SCALE:-0.2}
 source scripts/setup.sh
 DIR=$(mktemp -d)
 cleanup() { stop_all; rm -rf "$DIR"; }
 trap cleanup EXIT
 find_base
-TIME_SCALE=${TIME_SCALE:-0.2}
 write_all
 start_all
 
@@ -17,8 +17,8 @@
 
 # apply repeats the proposal until the state processes have elected a leader.
 apply() {
-  local i
-  for i in $(seq 1 100); do
+  local end=$((SECONDS + 20))
+  while [ "$SECONDS" -lt "$end" ]; do
     if bin/bilberryctl -config "$DIR/ctl.json" apply "$DIR/manifest.json" > "$DIR/apply.log" 2>&1; then
       cat "$DIR/apply.log"
       return 0
@@ -38,8 +38,8 @@
 
 # wait_served waits until an entry process has found an engine.
 wait_served() {
-  local i
-  for i in $(seq 1 150); do
+  local end=$((SECONDS + 20))
+  while [ "$SECONDS" -lt "$end" ]; do
     if load probe '"mode": "once", "requests": 1, "prompt_tokens": 1000, "max_tokens": 4' > "$DIR/probe.out" 2>&1 \
        && grep -q 'outcomes: ok 1' "$DIR/probe.out"; then return 0; fi
     sleep 0.1
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -14,11 +14,12 @@
 PIDS=()
 
 # find_base sets BASE to the first port of a range in which no sampled port is
-# in use.
+# in use. The ranges end below 32768, from where on the system takes the ports of
+# outgoing connections.
 find_base() {
   local try port used
   for try in $(seq 1 50); do
-    BASE=$((20000 + (RANDOM % 380) * 100))
+    BASE=$((12000 + (RANDOM % 30) * 650))
     used=0
     for port in 0 1 2 20 100 101 102 200 201 202 300 301 302 400 500 501 502 503; do
       if (exec 3<>"/dev/tcp/127.0.0.1/$((BASE + port))") 2>/dev/null; then used=1; break; fi
