raft: tell retired replicas, run proofs as scripts, attack the lease

Cause: a retired replica that still runs receives nothing and cannot learn why. Change: the answer to a pre-vote of a retired replica carries the committed membership, and the replica then neither votes nor campaigns. Randomised runs have quiet phases and directed attacks on the lease, check flow control, promotion and what a lease holder knows, and lost disks stay lost.

--- a/internal/raft/api.go
+++ b/internal/raft/api.go
@@ -26,7 +26,8 @@
 //  5. call Advance with Persisted.
 //
 // One Ready is outstanding at a time: HasReady is false until Advance. Step,
-// Tick and Propose may be called in between.
+// Tick and Propose may be called in between. Messages, entries and snapshots
+// are shared with the core and must not be changed.
 type Ready struct {
 	// HardState is nil when it has not changed.
 	HardState *wirepb.HardState
@@ -105,6 +106,8 @@
 	Voters         []string      `json:"voters"`
 	Learners       []string      `json:"learners"`
 	Retired        []string      `json:"retired"`
+	// SelfRetired is set when the identity of this replica is retired.
+	SelfRetired bool `json:"self_retired"`
 	// MembershipIndex is the log index of the membership in force, and
 	// MembershipPending is set until that entry is committed.
 	MembershipIndex   uint64 `json:"membership_index"`
--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -38,7 +38,8 @@
 // # Lease
 //
 // A voter refuses votes and pre-votes until a minimum election timeout has
-// passed since the last message of a leader, or since its own start. A leader
+// passed since the last message of a leader, or since its own start, not counting
+// stalls of its process or jumps of its clock. A leader
 // holds the lease until that timeout, minus the bound on clock drift, has
 // passed since it sent the last heartbeat round that a quorum answered. Any
 // other election needs a voter of that quorum, so it ends after the lease. The
@@ -69,8 +70,13 @@
 // that retires the old identity and adds the new one as a learner; replacing
 // voter by voter in one change could leave two quorums without overlap. A voter
 // doesn't check whether its own membership lists it or the candidate as a
-// voter, since it may lag behind. Retired identities are refused everywhere once
-// the retirement is committed.
+// voter, since it may lag behind. Messages of retired identities are dropped
+// everywhere once the retirement is committed. A retired replica that is still
+// running learns it from the answer to its pre-vote, and then neither votes nor
+// campaigns.
+//
+// A change is refused if the voters that the leader is in contact with would not
+// be a quorum of the new set, because it could then never commit.
 //
 // # Messages
 //
@@ -79,7 +85,8 @@
 //   - PRE_VOTE, VOTE: log_index and log_term of the last entry; round numbers
 //     the campaign; hint_index is the term of the leader that ordered a
 //     transfer. The term of PRE_VOTE is the term that an election would have.
-//   - PRE_VOTE_REPLY, VOTE_REPLY: reject; round as in the request.
+//   - PRE_VOTE_REPLY, VOTE_REPLY: reject; round as in the request. A reply to a
+//     retired replica carries the committed membership in snapshot, without data.
 //   - APPEND: log_index and log_term of the entry before entries; commit;
 //     round is the heartbeat round. Without entries it is a heartbeat.
 //   - APPEND_REPLY: log_index is the last durable index that matches, or with
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -112,6 +112,8 @@
 
 func (n *Node) handlePreVoteReply(m *wirepb.RaftMessage) {
 	switch {
+	case m.Snapshot != nil:
+		n.learnRetirement(m.Snapshot)
 	case m.Reject && m.Term > n.term:
 		n.becomeFollower(m.Term, "")
 	case m.Reject || n.role != PreCandidate || m.Round != n.campaign || m.Term != n.term+1:
--- a/internal/raft/faults_test.go
+++ b/internal/raft/faults_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,71 +12,93 @@
 	"bilberryhub/internal/wirepb"
 )
 
-// Guards against wrong behaviour in the single fault cases under testdata. Each
-// directive runs against one simulated cluster and prints the first violation
-// of an invariant, if any.
+// mechanisms names the mechanisms that a proof can switch off.
+var mechanisms = map[string]disabled{
+	"preVote": {preVote: true}, "checkQuorum": {checkQuorum: true}, "stickiness": {stickiness: true},
+	"learnerSync": {learnerSync: true}, "persistBeforeCount": {persistBeforeCount: true}, "retired": {retired: true},
+	"leaseAfterCommit": {leaseAfterCommit: true}, "changeAfterCommit": {changeAfterCommit: true},
+	"quietStart": {quietStart: true}, "stallGuard": {stallGuard: true},
+}
+
+// Guards against wrong behaviour in the single fault cases under testdata. A
+// scenario runs a script on one simulated cluster. A proof runs it with and
+// without a mechanism: the invariants must hold with it, and what happens must
+// differ, which guards against proofs that notice nothing.
 func TestFaults(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		var s *sim
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			if d.Cmd == "cluster" {
-				var voters []string
-				for _, a := range d.CmdArgs {
-					voters = append(voters, a.Key)
-				}
-				s = newSim(1, disabled{}, voters...)
-				return ""
+			voters := []string{"a", "b", "c"}
+			if a, ok := d.Arg("voters"); ok {
+				voters = a.Vals
+			}
+			with := newSim(1, disabled{}, voters...)
+			out := with.script(t, d)
+			if with.err != nil {
+				d.Fatalf(t, "%s", out)
+			} else if d.Cmd != "proof" {
+				return out
 			}
-			out := s.command(t, d)
-			if s.err != nil {
-				return s.err.Error() + "\n"
+			a, _ := d.Arg("without")
+			without := newSim(1, mechanisms[a.Vals[0]], voters...).script(t, d)
+			if without == out {
+				d.Fatalf(t, "nothing changes without %s", a.Vals[0])
 			}
-			return out
+			return "with:\n" + out + "without:\n" + without
 		})
 	})
 }
 
-func outcome(err error) string {
-	if err != nil {
-		return err.Error() + "\n"
+// script runs one command per line until an invariant is violated. It returns
+// what the commands print and the errors that they return.
+func (s *sim) script(t *testing.T, d *datadriven.TestData) string {
+	var out strings.Builder
+	for line := range strings.Lines(d.Input) {
+		if line[0] == '#' {
+			continue
+		}
+		cmd, args, err := datadriven.ParseLine(line)
+		if err != nil {
+			d.Fatalf(t, "%s: %v", line, err)
+		}
+		text, err := s.command(t, &datadriven.TestData{Pos: d.Pos, Cmd: cmd, CmdArgs: args})
+		out.WriteString(text)
+		if err = cmp.Or(s.err, err); err != nil {
+			fmt.Fprintf(&out, "%s: %v\n", strings.TrimSpace(line), err)
+		}
+		if s.err != nil {
+			break
+		}
 	}
-	return ""
+	return out.String()
 }
 
-// command runs one directive. Hosts are the arguments without a value.
-func (s *sim) command(t *testing.T, d *datadriven.TestData) string {
+// command runs one command. Hosts are the arguments without a value.
+func (s *sim) command(t *testing.T, d *datadriven.TestData) (string, error) {
 	var hosts []*host
 	for _, a := range d.CmdArgs {
 		if h := s.host(a.Key); h != nil && len(a.Vals) == 0 {
 			hosts = append(hosts, h)
 		}
 	}
+	var number int
+	for _, key := range []string{"ms", "n", "term"} {
+		d.MaybeScanArgs(t, key, &number)
+	}
 	switch d.Cmd {
 	case "run":
-		var ms int
-		d.ScanArgs(t, "ms", &ms)
-		s.run(time.Duration(ms) * time.Millisecond)
+		s.run(time.Duration(number) * time.Millisecond)
 	case "elect":
-		return outcome(s.elect(hosts[0].id))
+		return "", s.elect(hosts[0].id)
 	case "transfer":
-		return outcome(s.leader().n.TransferLeadership(hosts[0].id, s.now(s.leader())))
+		return "", s.leader().n.TransferLeadership(hosts[0].id, s.now(s.leader()))
 	case "put":
-		return outcome(s.put(d.CmdArgs[0].Key))
-	case "fill":
-		var count int
-		d.ScanArgs(t, "n", &count)
-		for i := 0; i < count && s.err == nil; i++ {
-			if err := s.propose(s.leader(), fmt.Sprint("fill-", i)); err != nil {
-				return outcome(err)
-			}
-			s.run(5 * simLatency)
-		}
-	case "restored":
-		return fmt.Sprintf("%d snapshots\n", s.restored)
+		return "", s.put(d.CmdArgs[0].Key)
+	case "fill", "burst":
+		return "", s.fill(number, d.Cmd == "fill")
 	case "propose":
-		return outcome(s.propose(hosts[0], d.CmdArgs[1].Key))
+		return "", s.propose(hosts[0], d.CmdArgs[1].Key)
 	case "change":
-		return s.changeCommand(t, d)
+		return "", s.changeCommand(t, d)
 	case "net":
 		d.MaybeScanArgs(t, "loss", &s.loss)
 		d.MaybeScanArgs(t, "dup", &s.dup)
@@ -85,18 +108,27 @@
 	case "heal":
 		s.heal()
 	case "settle":
-		return outcome(s.settle())
-	case "status":
-		return s.status(hosts)
+		return "", s.settle()
+	case "restored":
+		return fmt.Sprintf("%d snapshots\n", s.restored), nil
+	case "vote":
+		m := &wirepb.RaftMessage{
+			Kind: wirepb.RaftMessage_KIND_VOTE, From: hosts[0].id, To: hosts[1].id, Term: uint64(number),
+			LogIndex: 1000, LogTerm: uint64(number) - 1,
+		}
+		s.guard(func() { hosts[1].n.Step(m, s.now(hosts[1])) })
 	default:
-		return s.hostCommand(t, d, hosts)
+		return s.hostCommands(t, d, hosts, time.Duration(number)*time.Millisecond)
 	}
-	return ""
+	return "", nil
 }
 
-func (s *sim) hostCommand(t *testing.T, d *datadriven.TestData, hosts []*host) string {
+// hostCommands runs a command that applies to each of the hosts.
+func (s *sim) hostCommands(t *testing.T, d *datadriven.TestData, hosts []*host, span time.Duration) (out string, err error) {
 	for _, h := range hosts {
 		switch d.Cmd {
+		case "status":
+			out += s.status(h)
 		case "isolate":
 			s.isolate(h.id)
 		case "crash":
@@ -105,48 +137,97 @@
 			s.start(h)
 		case "compact":
 			s.compact(h)
-		case "nosync":
-			h.noSync = true
-		case "sync":
-			h.noSync = false
+		case "nosync", "sync":
+			h.noSync = d.Cmd == "nosync"
 		case "jump":
-			var ms int
-			d.ScanArgs(t, "ms", &ms)
-			h.offset += time.Duration(ms) * time.Millisecond
+			h.offset += span
+		case "campaign":
+			for h.n.electionDeadline = h.n.now; h.n.role != Leader && s.err == nil && s.t < time.Minute; {
+				s.tick(0)
+			}
+		case "undelivered":
+			s.leader().n.ReportSnapshot(h.id, false, s.now(s.leader()))
+		case "stall-after-vote":
+			s.stallAfterVote(span / time.Duration(len(hosts)))
 		default:
-			d.Fatalf(t, "unknown directive %s", d.Cmd)
+			d.Fatalf(t, "unknown command %s", d.Cmd)
 		}
 	}
-	return ""
+	return out, nil
 }
 
-// changeCommand proposes a membership change at the leader. The argument new
-// starts a replica with an empty disk.
-func (s *sim) changeCommand(t *testing.T, d *datadriven.TestData) string {
+// changeCommand proposes a membership change at the leader or at a given host.
+// The argument new starts a replica with an empty disk.
+func (s *sim) changeCommand(t *testing.T, d *datadriven.TestData) error {
 	kinds := map[string]ChangeKind{"add": AddLearner, "promote": Promote, "remove": Remove, "replace": Replace}
-	c := Change{Kind: kinds[d.CmdArgs[0].Key]}
-	var added string
+	c, l := Change{Kind: kinds[d.CmdArgs[0].Key]}, s.leader()
+	var added, at string
 	d.MaybeScanArgs(t, "id", &c.ID)
 	d.MaybeScanArgs(t, "new", &added)
-	if added != "" && s.host(added) == nil {
-		s.join(added)
+	if d.MaybeScanArgs(t, "at", &at); at != "" {
+		l = s.host(at)
 	}
 	if added != "" {
-		c.Replica = &wirepb.Replica{Id: added}
+		c.Replica = s.join(added)
 	}
-	return outcome(s.change(s.leader(), c))
+	return s.change(l, c)
 }
 
-func (s *sim) status(hosts []*host) string {
-	var b strings.Builder
-	for _, h := range hosts {
-		if h.n == nil {
-			fmt.Fprintf(&b, "%s: stopped\n", h.id)
-			continue
+func (s *sim) status(h *host) string {
+	if h.n == nil {
+		return h.id + ": stopped\n"
+	}
+	st := h.n.Status(s.now(h))
+	return fmt.Sprintf("%s: %s term=%d leader=%s lease=%v commit=%d voters=%v learners=%v repair_incomplete=%v retired=%v rejected=%v\n",
+		h.id, st.Role, st.Term, st.Leader, st.LeaseValid, st.Commit, st.Voters, st.Learners, st.RepairIncomplete, st.SelfRetired, st.Rejected)
+}
+
+// elect runs until the host leads with a lease.
+func (s *sim) elect(id string) error {
+	s.run(5 * simElection)
+	if l := s.leader(); l != nil && l.id != id {
+		if err := l.n.TransferLeadership(id, s.now(l)); err != nil {
+			return err
+		}
+		s.run(simElection)
+	}
+	if l := s.leader(); l == nil || l.id != id {
+		s.fail("%s was not elected", id)
+	}
+	return s.err
+}
+
+// stallAfterVote runs the cluster, and stops the disk of each candidate once the
+// vote for itself is durable.
+func (s *sim) stallAfterVote(d time.Duration) {
+	for end := s.t + d; s.t < end && s.err == nil; s.tick(0) {
+		for _, h := range s.hosts {
+			h.noSync = h.noSync || h.n != nil && h.n.role == Candidate && h.n.durableTerm == h.n.term
+		}
+	}
+}
+
+// put proposes a command at the leader and waits for its acknowledgement.
+func (s *sim) put(cmd string) error {
+	if err := s.propose(s.leader(), cmd); err != nil {
+		return err
+	}
+	s.run(simElection)
+	if s.acked[cmd] == 0 {
+		s.fail("command %q was not acknowledged", cmd)
+	}
+	return s.err
+}
+
+// fill proposes commands, one at a time or at once.
+func (s *sim) fill(count int, wait bool) error {
+	for i := range count {
+		if err := s.propose(s.leader(), fmt.Sprint("fill-", i)); err != nil {
+			return err
+		}
+		if wait {
+			s.run(5 * simLatency)
 		}
-		st := h.n.Status(s.now(h))
-		fmt.Fprintf(&b, "%s: %s term=%d leader=%s lease=%v commit=%d voters=%v learners=%v repair_incomplete=%v rejected=%v\n",
-			h.id, st.Role, st.Term, st.Leader, st.LeaseValid, st.Commit, st.Voters, st.Learners, st.RepairIncomplete, st.Rejected)
 	}
-	return b.String()
+	return s.err
 }
--- a/internal/raft/fuzz_test.go
+++ b/internal/raft/fuzz_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -59,14 +61,15 @@
 		LogIndex: in.number(), LogTerm: in.number(), Commit: in.number(), Reject: in.next(2) == 0,
 		HintIndex: in.number(), Round: in.number(),
 	}
+	if in.next(8) > 0 { // mostly one leader per term
+		m.From = []string{"b", "c"}[m.Term%2]
+	}
 	index := m.LogIndex
 	for range in.next(4) {
 		index++
-		e := &wirepb.LogEntry{Index: index, Term: max(m.LogTerm, in.number()), Kind: wirepb.LogEntry_Kind(in.next(5))}
-		if in.next(8) == 0 {
-			e.Index = in.number()
-		}
-		if e.Kind == wirepb.LogEntry_KIND_MEMBERSHIP {
+		e := &wirepb.LogEntry{Index: index, Term: m.Term, Kind: wirepb.LogEntry_KIND_COMMAND}
+		if in.next(4) == 0 {
+			e.Kind, e.Term = wirepb.LogEntry_Kind(in.next(5)), in.number()
 			e.Data, _ = proto.Marshal(in.membership())
 		}
 		m.Entries = append(m.Entries, e)
@@ -82,21 +85,15 @@
 func FuzzStep(f *testing.F) {
 	for seed := range byte(16) {
 		data := make([]byte, 4096)
-		for i := range data {
-			data[i] = byte((i*i*31 + i*int(seed) + int(seed)*97) >> 2)
-		}
+		_, _ = rand.NewChaCha8([32]byte{seed}).Read(data)
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		defer invariant.SetHandler(func(string, string) {})()
 		defer func() {
 			p := fmt.Sprint(recover())
-			for _, name := range impossible {
-				if strings.HasPrefix(p, "invariant "+name+" ") {
-					return
-				}
-			}
-			if p != "<nil>" {
+			allowed := func(name string) bool { return strings.HasPrefix(p, "invariant "+name+" ") }
+			if p != "<nil>" && !slices.ContainsFunc(impossible, allowed) {
 				t.Fatal(p)
 			}
 		}()
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -61,7 +61,7 @@
 		return ErrNotLeader{Leader: n.leader}
 	case n.transfer.to != "":
 		return ErrTransferring
-	case n.commit < n.termStart:
+	case n.commit < n.termStart && !n.off.changeAfterCommit:
 		return ErrTermNotCommitted
 	case n.membershipPending():
 		return ErrChangePending
@@ -177,9 +177,41 @@
 // isRetired follows committed changes only: a retirement that is not committed
 // may still be undone.
 func (n *Node) isRetired(id string) bool {
+	if n.toldRetired && id == n.cfg.ID {
+		return true
+	}
 	return !n.off.retired && slices.Contains(n.MembershipAt(n.commit).Retired, id)
 }
 
+// Retired reports whether the identity of this replica is known to be retired.
+// It can take part again only under a new identity with an empty disk.
+func (n *Node) Retired() bool { return n.isRetired(n.cfg.ID) }
+
+// answerRetired tells a retired replica that asks for a pre-vote why nobody
+// answers. It receives no entries any more, so it cannot learn it otherwise.
+func (n *Node) answerRetired(m *wirepb.RaftMessage) {
+	if m.GetKind() != wirepb.RaftMessage_KIND_PRE_VOTE || m.To != n.cfg.ID || !n.isRetired(m.From) {
+		return
+	}
+	term, known := n.log.term(n.commit)
+	if !known || n.isRetired(n.cfg.ID) {
+		return
+	}
+	n.send(&wirepb.RaftMessage{
+		Kind: wirepb.RaftMessage_KIND_PRE_VOTE_REPLY, To: m.From, Reject: true, Round: m.Round,
+		Snapshot: &wirepb.Snapshot{Index: n.commit, Term: term, Membership: n.MembershipAt(n.commit)},
+	})
+}
+
+// learnRetirement takes note of a committed membership that retires this
+// replica. The note is not durable: a restarted replica learns it again.
+func (n *Node) learnRetirement(s *wirepb.Snapshot) {
+	if s.Index > n.commit && slices.Contains(s.Membership.Retired, n.cfg.ID) {
+		n.toldRetired = true
+		n.becomeFollower(n.term, "")
+	}
+}
+
 // quorum is the number of voters that make a majority.
 func (n *Node) quorum() int { return len(n.membership().Voters)/2 + 1 }
 
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -54,6 +54,9 @@
 
 	leading
 
+	// toldRetired is set once a peer reported that this identity is retired.
+	toldRetired bool
+
 	durableTerm  uint64
 	durableVote  string
 	lastReady    *wirepb.HardState
@@ -83,7 +86,8 @@
 // disabled switches off single mechanisms. Only tests set it, to show that a
 // proof fails without the mechanism that it covers.
 type disabled struct {
-	preVote, checkQuorum, stickiness, learnerSync, persistBeforeCount, retired, leaseAfterCommit, quietStart, stallGuard bool
+	preVote, checkQuorum, stickiness, learnerSync, persistBeforeCount, retired bool
+	leaseAfterCommit, changeAfterCommit, quietStart, stallGuard                bool
 }
 
 // New returns a replica that starts from durable state. Damaged state is
@@ -165,11 +169,12 @@
 }
 
 // Step handles a message of a peer. Malformed messages, and messages of
-// retired replicas, are counted and dropped.
+// retired replicas, are counted and dropped. The core keeps parts of the message.
 func (n *Node) Step(m *wirepb.RaftMessage, now time.Duration) {
 	n.observe(now)
 	if reason := n.refuse(m); reason != "" {
 		n.rejected[reason]++
+		n.answerRetired(m)
 		return
 	}
 	switch m.Kind {
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -68,67 +68,84 @@
 func (c *chaos) fault() {
 	h := c.pick()
 	switch p := c.rng.IntN(5000); {
-	case p >= 410 && p < 2000:
-		// In quiet phases, replicas that are cut off still hold the whole log and
-		// could win an election.
-		if quiet := c.t/quietPhase%2 == 1; h.n != nil && !quiet {
-			c.next++
-			_ = c.propose(h, fmt.Sprintf("cmd-%d", c.next))
-		}
-	case p < 300:
-	case p < 306 && h.n != nil:
+	case p < 6 && h.n != nil:
 		c.crashInWrite(h)
-		if h.id != c.lost && c.rng.IntN(2) == 0 {
+		if c.rng.IntN(2) == 0 {
 			c.start(h)
 		}
-	case p < 320 && h.n == nil && h.id != c.lost:
+	case p < 20:
 		c.start(h)
-	case p < 324:
+	case p < 24:
 		g := c.pick()
 		c.cut[[2]string{g.id, h.id}] = true
 		c.cut[[2]string{h.id, g.id}] = c.rng.IntN(2) == 0
-	case p < 326:
+	case p < 26:
 		c.isolate(h.id)
-	case p < 332:
+	case p < 32:
 		c.heal()
-	case p < 336:
+	case p < 36:
 		c.loss, c.dup, c.delay = c.rng.Float64()*0.3, c.rng.Float64()*0.3, c.rng.Float64()*0.5
-	case p < 340:
+	case p < 40:
 		c.loss, c.dup, c.delay = 0, 0, 0
-	case p < 341:
+	case p < 41:
 		h.noSync = true
-	case p < 350:
+	case p < 50:
 		h.noSync = false
-	case p < 360 && h.n != nil:
+	case p < 60 && h.n != nil:
 		c.compact(h)
-	case p < 364 && h.n != nil:
+	case p < 64 && h.n != nil:
 		_ = h.n.TransferLeadership(c.pick().id, c.now(h))
-	case p < 368 && h.n != nil && c.rng.IntN(2) == 0:
+	case p < 66 && h.n != nil:
+		h.n.ReportSnapshot(c.pick().id, false, c.now(h))
+	case p < 70 && h.n != nil && c.rng.IntN(2) == 0:
 		// A forward jump counts as a stall of the process.
 		h.offset += simElection/2 + time.Duration(c.rng.Int64N(int64(simElection*3)))
-	case p < 400:
+	case p < 100:
 		c.reconfigure(c.leader())
-	case p < 410 && c.t/quietPhase%2 == 1:
+	case p < 110 && c.t/quietPhase%2 == 1:
 		c.attackLease(c.leader(), h)
+	case p < 1700:
+		// In quiet phases, replicas that are cut off still hold the whole log and
+		// could win an election.
+		if quiet := c.t/quietPhase%2 == 1; h.n != nil && !quiet {
+			c.next++
+			_ = c.propose(h, fmt.Sprintf("cmd-%d", c.next))
+		}
 	}
 }
 
-// attackLease cuts a member off from the leader until it campaigns, then
-// isolates the leader and restarts another voter or moves its clock.
-func (c *chaos) attackLease(l, cutOff *host) {
-	if l == nil || l == cutOff {
+// attackLease cuts a voter off from the leader until it campaigns, and then
+// isolates the leader and restarts another voter or moves its clock. Or it loses
+// a leader whose last commit is known to nobody else, and lets its successor
+// commit nothing. Other faults end before, since they would mostly prevent that.
+func (c *chaos) attackLease(l, h *host) {
+	if l == nil || l == h || h.n == nil {
 		return
 	}
-	c.cut[[2]string{l.id, cutOff.id}], c.cut[[2]string{cutOff.id, l.id}] = true, true
-	for range simElection / simStep {
-		c.tick(0.2)
+	c.mend()
+	if c.rng.IntN(2) == 0 {
+		_ = c.propose(l, fmt.Sprintf("last of %s at %v", l.id, c.t))
+		c.run(2 * simLatency)
+		for _, r := range l.n.membership().Voters {
+			c.cut[[2]string{l.id, r.Id}] = true
+		}
+		c.run(simElection / 2)
+		c.crash(l)
+		c.stallAfterVote(3 * simElection)
+		return
 	}
+	c.cut[[2]string{l.id, h.id}], c.cut[[2]string{h.id, l.id}] = true, true
+	c.run(simElection)
 	c.isolate(l.id)
-	if h := c.pick(); h != l && h != cutOff && h.n != nil && c.rng.IntN(2) == 0 {
-		c.crash(h)
-		c.start(h)
-	} else if h != l {
-		h.offset += simElection + time.Duration(c.rng.Int64N(int64(simElection)))
+	for _, r := range l.n.membership().Voters {
+		switch g := c.host(r.Id); {
+		case g == l || g == h || g.n == nil:
+		case c.rng.IntN(2) == 0:
+			c.crash(g)
+			c.start(g)
+		default:
+			g.offset += 2 * simElection
+		}
 	}
 }
 
@@ -163,6 +180,7 @@
 		// The disk is lost right after the previous repair, whoever leads.
 		c.lost = victim
 		c.crash(c.host(victim))
+		c.host(victim).gone = true
 	case c.lost == "" && len(m.Voters) < 5 && len(m.Learners) == 0 && p == 8:
 		_ = c.change(l, Change{Kind: AddLearner, Replica: c.replacement()})
 	case c.lost == "" && len(m.Voters) > 3 && p == 9:
@@ -210,15 +228,11 @@
 // other mechanisms protect availability, which these runs only check at the end.
 func TestRandomFaultsNoticeMechanisms(t *testing.T) {
 	const tries = 30
-	for _, p := range proofs {
-		if p.off == (disabled{preVote: true}) || p.off == (disabled{checkQuorum: true}) ||
-			p.off == (disabled{learnerSync: true}) || p.off == (disabled{retired: true}) {
-			continue
-		}
-		t.Run(p.name, func(t *testing.T) {
+	for _, name := range []string{"stickiness", "persistBeforeCount", "learnerSync", "leaseAfterCommit", "quietStart", "stallGuard"} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1); seed <= tries; seed++ {
-				if _, err := runChaos(seed, p.off); err != nil {
+				if _, err := runChaos(seed, mechanisms[name]); err != nil {
 					t.Logf("without the mechanism, seed %d: %v", seed, err)
 					return
 				}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -20,6 +20,8 @@
 	simDrift     = 5 * time.Millisecond
 	simLatency   = 2 * time.Millisecond
 	simStep      = time.Millisecond
+	simWindow    = 16
+	simBatch     = 256
 )
 
 // host is one replica with its clock and disk.
@@ -32,6 +34,7 @@
 	rate    float64 // local seconds per second
 	offset  time.Duration
 	noSync  bool   // writes are issued but don't become durable
+	gone    bool   // the disk is lost
 	rd      *Ready // being persisted
 	applied uint64
 	chain   uint64 // hash over all applied entries
@@ -54,7 +57,6 @@
 	net              []packet
 	cut              map[[2]string]bool
 	loss, dup, delay float64
-	batch            int
 
 	// What the checker knows of the whole run.
 	leaders   map[uint64]string
@@ -71,7 +73,7 @@
 
 func newSim(seed uint64, off disabled, voters ...string) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 0)), off: off, cut: map[[2]string]bool{}, batch: 256,
+		rng: rand.New(rand.NewPCG(seed, 0)), off: off, cut: map[[2]string]bool{},
 		leaders: map[uint64]string{}, content: map[entryKey]uint64{}, durable: map[entryKey]map[string]bool{},
 		snapshots: map[string]uint64{}, committed: map[uint64]uint64{1: 0}, proposed: map[entryKey]string{},
 		acked: map[string]uint64{},
@@ -79,10 +81,9 @@
 	m := &wirepb.Membership{}
 	for _, id := range voters {
 		m.Voters = append(m.Voters, &wirepb.Replica{Id: id})
+		s.addHost(id).snap = &wirepb.Snapshot{Index: 1, Term: 1, Membership: m, Data: make([]byte, 8)}
 	}
-	for _, id := range voters {
-		h := s.addHost(id)
-		h.snap = &wirepb.Snapshot{Index: 1, Term: 1, Membership: m, Data: make([]byte, 8)}
+	for _, h := range s.hosts {
 		s.start(h)
 	}
 	return s
@@ -94,12 +95,19 @@
 	return h
 }
 
+// join starts a replica with an empty disk unless it already exists.
+func (s *sim) join(id string) *wirepb.Replica {
+	if s.host(id) == nil {
+		s.start(s.addHost(id))
+	}
+	return &wirepb.Replica{Id: id}
+}
+
 func (s *sim) host(id string) *host {
-	i := slices.IndexFunc(s.hosts, func(h *host) bool { return h.id == id })
-	if i < 0 {
-		return nil
+	if i := slices.IndexFunc(s.hosts, func(h *host) bool { return h.id == id }); i >= 0 {
+		return s.hosts[i]
 	}
-	return s.hosts[i]
+	return nil
 }
 
 func (s *sim) fail(format string, args ...any) {
@@ -110,10 +118,14 @@
 
 func (s *sim) now(h *host) time.Duration { return time.Duration(float64(s.t)*h.rate) + h.offset }
 
+// start starts a stopped host from its disk, unless that is lost.
 func (s *sim) start(h *host) {
+	if h.gone || h.n != nil {
+		return
+	}
 	cfg := Config{
 		ID: h.id, ElectionTimeout: simElection, HeartbeatInterval: simHeartbeat, MaxClockDrift: simDrift,
-		MaxInflightEntries: 16, MaxMessageBytes: s.batch, Seed: s.rng.Uint64(),
+		MaxInflightEntries: simWindow, MaxMessageBytes: simBatch, Seed: s.rng.Uint64(),
 	}
 	n, err := New(cfg, InitialState{HardState: h.hs, Snapshot: h.snap, Entries: h.entries}, s.now(h))
 	if err != nil {
@@ -312,6 +324,7 @@
 				s.fail("term %d has leaders %s and %s", h.n.term, old, h.id)
 			}
 			s.leaders[h.n.term] = h.id
+			s.checkFlow(h)
 			if h.n.commit > h.commit {
 				s.checkQuorumHolds(h)
 			}
@@ -320,13 +333,28 @@
 	}
 }
 
+// holds reports whether the disk of a replica ever held what h has committed.
+func (s *sim) holds(id string, h *host) bool {
+	term, _ := h.n.log.term(h.n.commit)
+	return s.durable[entryKey{h.n.commit, term}][id] || s.snapshots[id] >= h.n.commit
+}
+
+// checkFlow checks the bounds on what a leader has sent without an answer.
+func (s *sim) checkFlow(h *host) {
+	h.n.eachPeer(func(id string, p *progress) {
+		limit := (windowMessages + 1) * simBatch // the last message may start below the bound
+		if p.inflightEntries() > simWindow || p.inflightBytes > limit {
+			s.fail("%s has %d entries and %d bytes in flight to %s", h.id, p.inflightEntries(), p.inflightBytes, id)
+		}
+	})
+}
+
 // checkQuorumHolds checks that what a leader counts as committed is durable on
 // a majority of its voters.
 func (s *sim) checkQuorumHolds(h *host) {
-	term, _ := h.n.log.term(h.n.commit)
 	count := 0
 	for _, r := range h.n.membership().Voters {
-		if s.durable[entryKey{h.n.commit, term}][r.Id] || s.snapshots[r.Id] >= h.n.commit {
+		if s.holds(r.Id, h) {
 			count++
 		}
 	}
@@ -346,6 +374,9 @@
 }
 
 func (s *sim) propose(h *host, cmd string) (err error) {
+	if h == nil {
+		return ErrNotLeader{}
+	}
 	s.guard(func() {
 		var index, term uint64
 		if index, term, err = h.n.Propose([]byte(cmd), s.now(h)); err == nil {
@@ -356,7 +387,13 @@
 }
 
 func (s *sim) change(h *host, c Change) (err error) {
+	if h == nil {
+		return ErrNotLeader{}
+	}
 	s.guard(func() { _, _, err = h.n.ProposeMembership(c, s.now(h)) })
+	if err == nil && c.Kind == Promote && !s.holds(c.ID, h) {
+		s.fail("%s was promoted without the entries committed up to %d", c.ID, h.n.commit)
+	}
 	return err
 }
 
@@ -365,14 +402,13 @@
 	if !ok || h.n.applied != h.applied || h.rd != nil || h.applied <= h.snap.GetIndex() {
 		return
 	}
-	snap := &wirepb.Snapshot{
+	h.snap = &wirepb.Snapshot{
 		Index: h.applied, Term: term, Membership: h.n.MembershipAt(h.applied),
 		Data: binary.BigEndian.AppendUint64(nil, h.chain),
 	}
-	h.snap = snap
-	h.entries = slices.DeleteFunc(slices.Clone(h.entries), func(e *wirepb.LogEntry) bool { return e.Index <= snap.Index })
-	s.snapshots[h.id] = snap.Index
-	s.guard(func() { h.n.Compact(snap) })
+	h.entries = slices.DeleteFunc(slices.Clone(h.entries), func(e *wirepb.LogEntry) bool { return e.Index <= h.applied })
+	s.snapshots[h.id] = h.applied
+	s.guard(func() { h.n.Compact(h.snap) })
 }
 
 // isolate cuts a host from all others in both directions.
@@ -384,6 +420,15 @@
 
 func (s *sim) heal() { clear(s.cut) }
 
+// mend ends all faults but crashes.
+func (s *sim) mend() {
+	s.heal()
+	s.loss, s.dup, s.delay = 0, 0, 0
+	for _, h := range s.hosts {
+		h.noSync = false
+	}
+}
+
 func (s *sim) run(d time.Duration) {
 	for end := s.t + d; s.t < end && s.err == nil; {
 		s.tick(0)
@@ -393,21 +438,14 @@
 // settle heals everything and expects one leader, equal state on all members,
 // and every acknowledged command in it.
 func (s *sim) settle() error {
-	s.heal()
-	s.loss, s.dup, s.delay = 0, 0, 0
+	s.mend()
 	for _, h := range s.hosts {
-		h.noSync = false
-		if h.n == nil {
-			s.start(h)
-		}
+		s.start(h)
 	}
 	s.run(20 * simElection)
 	l := s.leader()
-	if s.err != nil || l == nil {
-		return errors.Join(s.err, fmt.Errorf("leader after the last fault: %v", l != nil))
-	}
-	if err := s.propose(l, "last"); err != nil {
-		return err
+	if err := s.propose(l, "last"); err != nil || s.err != nil {
+		return errors.Join(s.err, err)
 	}
 	s.run(5 * simElection)
 	if s.acked["last"] == 0 {
@@ -419,7 +457,7 @@
 		}
 	}
 	for _, r := range slices.Concat(l.n.membership().Voters, l.n.membership().Learners) {
-		if h := s.host(r.Id); h.applied != l.applied || h.chain != l.chain {
+		if h := s.host(r.Id); !h.gone && (h.applied != l.applied || h.chain != l.chain) {
 			s.fail("%s applied up to %d, leader %s up to %d", h.id, h.applied, l.id, l.applied)
 		}
 	}
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -17,7 +17,7 @@
 		FirstIndex: n.log.baseIndex + 1, LastIndex: n.log.last(), PersistedIndex: n.log.stable,
 		SnapshotIndex: n.snapshot.Index,
 		Voters:        ids(m.Voters), Learners: ids(m.Learners), Retired: slices.Clone(m.Retired),
-		MembershipIndex: n.membershipIndex(), MembershipPending: n.membershipPending(),
+		SelfRetired: n.Retired(), MembershipIndex: n.membershipIndex(), MembershipPending: n.membershipPending(),
 		RepairIncomplete: len(m.Learners) > 0 || n.membershipPending(),
 		Progress:         n.peerStatus(), Rejected: maps.Clone(n.rejected),
 	}
--- a/internal/raft/validate.go
+++ b/internal/raft/validate.go
@@ -43,8 +43,11 @@
 		if n.role == Leader && m.Term == n.term && (m.Round > n.round || m.LogIndex > n.log.last()) {
 			return "answer to nothing sent"
 		}
-	case wirepb.RaftMessage_KIND_PRE_VOTE, wirepb.RaftMessage_KIND_PRE_VOTE_REPLY, wirepb.RaftMessage_KIND_VOTE,
-		wirepb.RaftMessage_KIND_VOTE_REPLY, wirepb.RaftMessage_KIND_TIMEOUT_NOW:
+	case wirepb.RaftMessage_KIND_PRE_VOTE_REPLY:
+		if m.Snapshot != nil && checkSnapshot(m.Snapshot, m.Term) != nil {
+			return "invalid snapshot"
+		}
+	case wirepb.RaftMessage_KIND_PRE_VOTE, wirepb.RaftMessage_KIND_VOTE, wirepb.RaftMessage_KIND_VOTE_REPLY, wirepb.RaftMessage_KIND_TIMEOUT_NOW:
 	default:
 		return "unknown kind"
 	}
