Stop a replica whose identity is retired, and sharpen the proofs

Cause: a disk that was replaced and comes back served an outdated state.

Change: a retired replica ends with an error that says what to do. The tests check the term at the end of a stop, and notice a replica that has formed a cluster while it should wait.

--- a/internal/stateserver/disk_loss_test.go
+++ b/internal/stateserver/disk_loss_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -17,12 +20,15 @@
 	return id
 }
 
-// awaitRounds waits until a replica has tried to join several times.
+// awaitRounds waits until a replica has tried to join several times, or has
+// state.
 func (c *cluster) awaitRounds(name string) {
 	c.t.Helper()
 	rounds := c.servers[name].metrics.joinRounds
 	start := rounds.Get()
-	c.await("join attempts of "+name, func() bool { return rounds.Get() >= start+5 })
+	c.await("join attempts of "+name, func() bool {
+		return rounds.Get() >= start+5 || !c.status(name).Forming
+	})
 }
 
 // TestLostDisk guards against a wiped replica that votes under its old
@@ -64,6 +70,30 @@
 	}
 }
 
+// TestOldDiskReturns guards against a replaced disk that comes back and serves
+// an outdated state.
+func TestOldDiskReturns(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll()
+	name := c.others(c.leader())[0]
+	folder := filepath.Join(c.dir, name)
+	c.stop(name)
+	if err := os.Rename(folder, folder+"-old"); err != nil {
+		t.Fatal(err)
+	}
+	c.start(name)
+	c.awaitVoter(name)
+	c.wipe(name)
+	if err := os.Rename(folder+"-old", folder); err != nil {
+		t.Fatal(err)
+	}
+	s := c.start(name)
+	c.await("the old disk to be refused", func() bool { return s.Err() != nil })
+	if !strings.Contains(s.Err().Error(), "retired") {
+		t.Fatalf("the replica of the old disk ended with: %v", s.Err())
+	}
+}
+
 // TestSecondLossDuringRepair guards against a replaced replica that votes
 // before it has caught up, which could elect a leader without the claims that
 // only the lost replicas held.
--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -128,6 +128,11 @@
 	l.advanceClock(now)
 	l.promoteLearners(now)
 	l.publishLeadership(now)
+	if l.node.Retired() {
+		// Another disk has taken the place of this one, so what is stored here
+		// is outdated for good.
+		l.err = errors.Errorf("identity %s is retired; move the data folder away to join with a new identity", l.s.id)
+	}
 }
 
 // pump takes work from the consensus core until the disk is needed.
--- a/internal/stateserver/server_test.go
+++ b/internal/stateserver/server_test.go
@@ -191,16 +191,27 @@
 	for round := range uint64(3) {
 		leader := c.leader()
 		client := c.client(c.others(leader)[0])
+		old := c.status(leader).Raft.Term
 		stopped := make(chan error, 1)
-		go func() { stopped <- c.servers[leader].Stop() }()
+		handedOver := false
+		go func() {
+			err := c.servers[leader].Stop()
+			// Without a handover, the others have not noticed the stop yet.
+			for _, name := range c.others(leader) {
+				if v, err := c.servers[name].dump(); err == nil && v.(serverDump).Raft.Term > old {
+					handedOver = true
+				}
+			}
+			stopped <- err
+		}()
 		for n := range uint64(50) {
 			id := fmt.Sprintf("order-%d-%d", round, n)
 			if _, code := propose(client, order(id, round*50+n+1, n%2 == 0)); code != "" {
 				t.Fatalf("proposal %s failed with %q", id, code)
 			}
 		}
-		if err := <-stopped; err != nil {
-			t.Fatal(err)
+		if err := <-stopped; err != nil || !handedOver {
+			t.Fatalf("stop of leader %s: error %v, handed over: %v", leader, err, handedOver)
 		}
 		c.start(leader)
 	}
