Check histories of claims under faults

Cause: lost answers, forwarding and the mapping of outcomes were tested one by one, not in combination.

Change: a seeded run with callers at all replicas, while replicas are cut off and crash, checked with porcupine. Waiting for the first replica set is logged once in 25 attempts.

--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -209,9 +209,12 @@
 	defer cancel()
 	env, err := client.Call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Propose{Propose: &wirepb.Propose{Command: cmd}}})
 	var remote *wire.RemoteError
+	var op *net.OpError
 	switch {
 	case errors.As(err, &remote):
 		return nil, remote.Code
+	case errors.As(err, &op) && op.Op == "dial":
+		return nil, codeNoLeader
 	case err != nil:
 		return nil, codeOutcomeUnknown
 	}
--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -21,6 +21,8 @@
 	joinInterval = 200 * time.Millisecond
 	// joinTimeout bounds one attempt.
 	joinTimeout = 5 * time.Second
+	// logRounds is the number of attempts for which one line is logged.
+	logRounds = 25
 	// The first snapshot stands at the first index and term.
 	firstIndex, firstTerm = 1, 1
 )
@@ -103,7 +105,9 @@
 		case r.Name == s.settings.ID:
 			id = s.id
 		case !answers[i].noCluster || nameOf(id) != r.Name:
-			s.log.Info("waiting for the first replica set", zap.String("replica", r.Name), observe.Error(answers[i].err))
+			if s.metrics.joinRounds.Get()%logRounds == 0 {
+				s.log.Info("waiting for the first replica set", zap.String("replica", r.Name), observe.Error(answers[i].err))
+			}
 			return
 		}
 		members = append(members, r.withID(id))
--- /dev/null
+++ b/internal/stateserver/history_test.go
@@ -0,0 +1,143 @@
+package stateserver
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"bilberryhub/internal/wire"
+)
+
+var historySeed = flag.Uint64("history-seed", 1, "seed of the run with faults")
+
+// claimInput asks for a key with a claim id, and claimOutput is what the caller
+// learned.
+type claimInput struct{ key, id string }
+
+type claimOutput struct {
+	// holder is the claim id that holds the key, or empty when the answer was
+	// that nothing was done.
+	holder string
+	// unknown is set when no answer tells whether the claim was made.
+	unknown bool
+}
+
+// claimModel says that the first claim id to take a key holds it for good. A
+// claim with an unknown outcome may or may not have been made.
+var claimModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(claimInput).key
+			byKey[key] = append(byKey[key], op)
+		}
+		out := make([][]porcupine.Operation, 0, len(byKey))
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		holder, in, out := state.(string), input.(claimInput), output.(claimOutput)
+		next := holder
+		if next == "" {
+			next = in.id
+		}
+		switch {
+		case out.unknown:
+			return []any{holder, next}
+		case out.holder == "":
+			return []any{holder}
+		case out.holder != next:
+			return nil
+		}
+		return []any{next}
+	},
+}
+
+// TestHistory guards against claims that are granted twice, lost, or made
+// although the answer says that nothing was done, while replicas are cut off
+// and crash.
+func TestHistory(t *testing.T) {
+	const callers, callsPerKey, maxCalls = 6, 12, 20_000
+	c := newCluster(t, 3)
+	c.entries = 25
+	c.startAll()
+	c.leader()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	start := time.Now()
+	done := make(chan struct{})
+	var calls atomic.Int64
+	var wg sync.WaitGroup
+	for caller := range callers {
+		clients := make([]*wire.Client, len(c.replicas))
+		for i, r := range c.replicas {
+			clients[i] = c.client(r.Name)
+		}
+		rng := rand.New(rand.NewPCG(*historySeed, uint64(caller)))
+		wg.Go(func() {
+			for n := calls.Add(1); n < maxCalls; n = calls.Add(1) {
+				select {
+				case <-done:
+					return
+				case <-time.After(time.Duration(rng.IntN(10)) * time.Millisecond):
+				}
+				in := claimInput{key: fmt.Sprintf("key-%d", n/callsPerKey), id: fmt.Sprintf("id-%d", n)}
+				op := porcupine.Operation{ClientId: caller, Input: in, Call: time.Since(start).Nanoseconds()}
+				r, code := propose(clients[rng.IntN(len(clients))], claim(in.key, in.id))
+				op.Return = time.Since(start).Nanoseconds()
+				out := claimOutput{unknown: code == codeOutcomeUnknown}
+				if r != nil {
+					out.holder = r.GetClaim().GetClaimId()
+				}
+				if op.Output = out; out.unknown {
+					// The claim may still be made at any later time.
+					op.Return = time.Hour.Nanoseconds()
+				}
+				mu.Lock()
+				history = append(history, op)
+				mu.Unlock()
+			}
+		})
+	}
+	c.disturb(rand.New(rand.NewPCG(*historySeed, 99)))
+	close(done)
+	wg.Wait()
+	unknown := 0
+	for _, op := range history {
+		if op.Output.(claimOutput).unknown {
+			unknown++
+		}
+	}
+	t.Logf("seed %d: %d operations, %d with unknown outcome", *historySeed, len(history), unknown)
+	if got := porcupine.CheckOperationsTimeout(claimModel.ToModel(), history, patience); got != porcupine.Ok {
+		t.Fatalf("seed %d: history is %s", *historySeed, got)
+	}
+}
+
+// disturb cuts off, stops and restarts replicas, one at a time.
+func (c *cluster) disturb(rng *rand.Rand) {
+	const faults = 6
+	pause := func() { time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond) }
+	for range faults {
+		pause()
+		name := c.replicas[rng.IntN(len(c.replicas))].Name
+		if rng.IntN(2) == 0 {
+			c.stop(name)
+			pause()
+			c.start(name)
+		} else {
+			c.isolate(name, true)
+			pause()
+			c.isolate(name, false)
+		}
+	}
+}
