Compute the values of a backend server once per event

Change: usability, work, memory and slots are kept per event until the backend server changes; old rows are dropped every 5 s instead of at each tick; late requests are looked at closely only when they are late without a cached prefix. A returning owner starts with a cold budget, and a new boot keeps a waiting period that is running.

--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -33,10 +33,12 @@
 	c.takeOwnership(b, a)
 	if c.releasing && c.released(b) {
 		b.lease = 0
+		b.touch()
 		return c.reply(0, true)
 	}
 	b.lease = max(b.lease, c.arrival()+announce.Lease)
 	c.takeReport(b, a)
+	b.touch()
 	c.reconcile(b)
 	c.drainQueue(p)
 	return c.reply(max(0, b.lease-c.now), false)
@@ -84,7 +86,14 @@
 		b.waitUntil = max(b.waitUntil, c.now+takeoverWait)
 		b.provenFrom = b.waitUntil
 	}
-	if fresh && a.PreviousOwner != "" && !a.Load.Cold {
+	if a.PreviousOwner == "" || a.PreviousOwner == c.cfg.Entry {
+		return
+	}
+	if !fresh {
+		// What this process knew from an earlier time as owner may have changed.
+		b.budget = coldstart.New(a.Boot, s.ColdLimit, a.ColdLimitRequests, full)
+	}
+	if !a.Load.Cold {
 		// The old owner had shown that the backend server bears its open requests.
 		b.budget.Assume(len(a.Load.Open))
 	}
@@ -104,8 +113,7 @@
 	b.measured, b.speed = false, 0
 	b.reportAt, b.reportSure, b.reported, b.foreignStale = 0, 0, nil, true
 	clear(b.linger)
-	// The owner of the old boot knows all grants, so nothing needs to be waited for.
-	b.waitUntil, b.provenFrom = 0, 0
+	// A waiting period goes on: permits of the previous owner do not name the boot.
 }
 
 // released tells whether the lease of a backend server can be given up: nobody may
@@ -165,11 +173,9 @@
 	}
 }
 
-// usable tells whether a backend server may be granted now, and why not.
-func (c *Core) usable(b *backend) (bool, string) {
+// checkUsable computes usable.
+func (c *Core) checkUsable(b *backend) (bool, string) {
 	switch {
-	case b.last == nil:
-		return false, "never announced"
 	case b.last.Leaving:
 		return false, "leaving"
 	case b.down:
--- a/internal/dispatch/classes.go
+++ b/internal/dispatch/classes.go
@@ -49,8 +49,9 @@
 type classes struct {
 	samples  []sample
 	boundary uint64
-	long     int // number of engines that take long prefills
-	engines  map[*backend]bool
+	long     int               // number of engines that take long prefills
+	engines  map[*backend]bool // those that take long prefills
+	count    int               // number of engines at the last tick
 	updated  time.Duration
 	// differs is since when the wanted number of engines differs from long.
 	differs time.Duration
@@ -182,7 +183,7 @@
 
 func (c *Core) assignLong(p *pool, engines []*backend) {
 	k := &p.class
-	k.engines = map[*backend]bool{}
+	k.engines, k.count = map[*backend]bool{}, len(engines)
 	for i, b := range engines {
 		if len(engines) > 1 && i >= min(max(1, k.long), len(engines)-1) {
 			break
@@ -191,8 +192,8 @@
 	}
 }
 
-// holdsLong tells whether a long prefill is outstanding on a backend server.
-func (c *Core) holdsLong(b *backend) bool {
+// findLong computes holdsLong.
+func (c *Core) findLong(b *backend) bool {
 	for _, d := range b.pending {
 		if d.long {
 			return true
@@ -212,7 +213,7 @@
 // lengthAllows tells whether the length class of a request may use a backend server.
 func (c *Core) lengthAllows(b *backend, d *dispatch) bool {
 	k := &b.pool.class
-	if c.off.confinement || b.plain() || len(k.engines) == 0 || len(c.engines(b.pool)) < 2 {
+	if c.off.confinement || b.plain() || k.count < 2 {
 		return true
 	}
 	if d.long {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -30,6 +30,8 @@
 	// process has been paused, and announcements read now may have waited in its
 	// buffers while another dispatcher took over.
 	roleStall = time.Second
+	// cleanEvery is the period for dropping old rows of the tables.
+	cleanEvery = 5 * time.Second
 )
 
 // Config holds the settings of a Core.
@@ -73,6 +75,7 @@
 	// During settle after a pause, announcements may be from before it.
 	arrivedAfter time.Duration
 	settleUntil  time.Duration
+	cleanAt      time.Duration
 	// The configuration was confirmed configAge before configAgeAt.
 	configAge   time.Duration
 	configAgeAt time.Duration
@@ -87,9 +90,11 @@
 	// running lists the granted dispatches by fingerprint.
 	running  map[string][]*dispatch
 	arrivals uint64
-	summary  uint64
-	actions  []Action
-	off      mechanisms
+	// event counts the calls of methods, for memo.
+	event   uint64
+	summary uint64
+	actions []Action
+	off     mechanisms
 }
 
 // mechanisms switches off single mechanisms, so that tests can show that they
@@ -121,7 +126,10 @@
 }
 
 // SetView sets the configuration in force.
-func (c *Core) SetView(v View) { c.view = v }
+func (c *Core) SetView(v View) {
+	c.view = v
+	c.event++
+}
 
 // SetHomes sets how the failure domain that runs a suspected request is found.
 // Without it, each core runs suspected requests itself.
@@ -158,10 +166,10 @@
 	}
 	c.expireDispatches()
 	c.expireBackends()
-	c.expireEnded()
-	c.suspects.Expire(now)
+	if c.now >= c.cleanAt {
+		c.clean()
+	}
 	for _, p := range c.poolOrder {
-		p.queue.expireAccounts(now)
 		c.refuseOverdue(p)
 		c.updateClasses(p)
 		c.drainQueue(p)
@@ -169,6 +177,17 @@
 	c.checkInvariants()
 }
 
+// clean drops what is no longer needed. It runs less often than Tick, because the
+// tables that it walks hold several seconds or minutes of traffic.
+func (c *Core) clean() {
+	c.cleanAt = c.now + cleanEvery
+	c.expireEnded()
+	c.suspects.Expire(c.now)
+	for _, p := range c.poolOrder {
+		p.queue.expireAccounts(c.now)
+	}
+}
+
 // advance moves the clock of the core. Time never goes back.
 func (c *Core) advance(now time.Duration) {
 	if !c.started {
@@ -176,6 +195,7 @@
 		c.configAgeAt = now
 	}
 	c.now = max(c.now, now)
+	c.event++
 	if c.ticked && c.now-c.lastTick > roleStall && !c.off.stall {
 		c.stalled()
 	}
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -79,14 +79,11 @@
 	return nil
 }
 
-// workAhead estimates the prefill tokens outstanding on a backend server. It
+// estimateWork computes workAhead: the prefill tokens outstanding. It
 // replays the grants since the load report on top of it, and compares with the
 // replay of all own grants without a first token: a report alone lags, and all
 // dispatchers that trust it choose the same target.
-func (c *Core) workAhead(b *backend) float64 {
-	if b.plain() {
-		return 0
-	}
+func (c *Core) estimateWork(b *backend) float64 {
 	speed := c.speedOf(b)
 	foreign := c.foreignOpen(b) > 0
 	var total, own, since float64
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -26,6 +26,7 @@
 	took = c.sinceGrant(d, took)
 	d.state, d.ttft = statePrefilled, took
 	for _, m := range d.members {
+		defer m.backend.touch()
 		m.backend.dropPending(d)
 		m.backend.cache.guess(d.req.PrefixHashes)
 	}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -5,9 +5,8 @@
 	"slices"
 )
 
-// largestMemory returns the memory of the largest live engine for a model and
-// the memory of the largest group, in tokens.
-func (c *Core) largestMemory(p *pool, model string) (single, group uint64) {
+// measureMemory computes largestMemory.
+func (c *Core) measureMemory(p *pool, model string) (single, group uint64) {
 	var sizes []uint64
 	for _, b := range p.order {
 		if ok, _ := c.usable(b); ok && !b.plain() && b.serves(model) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"bilberryhub/internal/invariant"
@@ -41,11 +42,8 @@
 	return n
 }
 
-// outstanding counts all requests that a backend server may hold.
-func (c *Core) outstanding(b *backend) int { return len(b.open) + c.foreignOpen(b) }
-
-// slotLimit returns how many requests a backend server may hold at once.
-func (c *Core) slotLimit(b *backend) int {
+// limitSlots computes slotLimit.
+func (c *Core) limitSlots(b *backend) int {
 	full := b.maxConcurrent(c.service(b.pool))
 	if c.off.coldBudget || !b.budget.Cold() {
 		return full
@@ -77,8 +75,8 @@
 	return max(share, used-min(used, own))
 }
 
-// freeMemory returns the memory that can be reserved, in tokens.
-func (c *Core) freeMemory(b *backend) uint64 {
+// countFree computes freeMemory.
+func (c *Core) countFree(b *backend) uint64 {
 	taken := b.reserved + c.foreignMemory(b)
 	return b.last.MemoryTokens - min(taken, b.last.MemoryTokens)
 }
@@ -86,10 +84,12 @@
 // candidate tells whether a request may be granted a backend server now, apart
 // from memory.
 func (c *Core) candidate(b *backend, d *dispatch) bool {
-	if ok, _ := c.usable(b); !ok || !b.serves(d.req.Model) || excludes(d, b) {
-		return false
-	}
-	if c.outstanding(b) >= c.slotLimit(b) || !c.suspicionAllows(b, d) {
+	return c.hasRoom(b) && b.serves(d.req.Model) && !excludes(d, b) && c.suspicionAllows(b, d)
+}
+
+// hasRoom tells whether a backend server may be granted now and takes any request.
+func (c *Core) hasRoom(b *backend) bool {
+	if ok, _ := c.usable(b); !ok || c.outstanding(b) >= c.slotLimit(b) {
 		return false
 	}
 	return b.plain() || c.workAhead(b) <= maxBacklog.Seconds()*c.speedOf(b)
@@ -162,21 +162,22 @@
 
 // shape tells requests apart that need different room on the same backend servers.
 type shape struct {
-	long  bool
-	model string
+	long    bool
+	patient bool // has not waited for shortPatience
+	model   string
 }
 
 // drainOnce grants the first queued request that can be placed.
 func (c *Core) drainOnce(p *pool) bool {
-	if !c.anySlot(p) {
+	if !slices.ContainsFunc(p.order, c.hasRoom) {
 		return false
 	}
 	held := map[*backend]*dispatch{}
 	failed := map[shape]uint64{}
 	for _, f := range c.ordered(&p.queue) {
 		d := f.items[0]
-		s := shape{d.long, d.req.Model}
-		plain := !d.suspect && len(d.req.Exclude) == 0 && c.now-d.arrived <= shortPatience
+		s := shape{d.long, c.now-d.arrived <= max(shortPatience, d.target), d.req.Model}
+		plain := !d.suspect && len(d.req.Exclude) == 0
 		if least, tried := failed[s]; tried && plain && d.tokens() >= least {
 			continue // a smaller request of this kind has found no room
 		}
@@ -196,18 +197,9 @@
 	return false
 }
 
-func (c *Core) anySlot(p *pool) bool {
-	for _, b := range p.order {
-		if ok, _ := c.usable(b); ok && c.outstanding(b) < c.slotLimit(b) {
-			return true
-		}
-	}
-	return false
-}
-
 // holdFor keeps backend servers free for a request that waits long for memory.
 func (c *Core) holdFor(d *dispatch, held map[*backend]*dispatch) {
-	if c.off.hold || d.suspect || c.now-d.arrived < holdAfter {
+	if c.off.hold || d.suspect || c.now-d.arrived < holdAfter || c.fitsSomewhere(d) {
 		return
 	}
 	keep := d.holdTargets[:0]
@@ -227,6 +219,17 @@
 	}
 }
 
+// fitsSomewhere tells whether some engine has the memory for a request, so that it
+// waits for something else.
+func (c *Core) fitsSomewhere(d *dispatch) bool {
+	for _, b := range d.pool.order {
+		if ok, _ := c.usable(b); ok && (b.plain() || c.freeMemory(b) >= d.tokens()) && c.lengthAllows(b, d) && b.serves(d.req.Model) {
+			return true
+		}
+	}
+	return false
+}
+
 // grant reserves the members and answers the entry process.
 func (c *Core) grant(d *dispatch, members []member) {
 	d.state, d.grantedAt, d.sole = stateGranted, c.now, c.suspected(d)
@@ -236,7 +239,7 @@
 	c.hold(d, members)
 	d.pool.queue.account(d.req.Account).running++
 	for _, m := range members {
-		ok, why := c.usable(m.backend)
+		ok, why := c.checkUsable(m.backend)
 		invariant.Report(ok, "grant_usable", "dispatch %s granted %s: %s", d.id, m.backend.id, why)
 		if c.policy.queues() {
 			c.checkGrant(d, m)
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -35,6 +35,7 @@
 		if d.state < statePrefilled {
 			b.pending = append(b.pending, d)
 		}
+		b.touch()
 	}
 	c.track(d)
 }
@@ -60,6 +61,7 @@
 		if !finished && m.boot == b.boot {
 			b.linger[d.id] = c.now
 		}
+		b.touch()
 	}
 	delete(c.dispatches, d.id)
 	c.ended[d.id] = endedDispatch{at: c.now, finished: finished}
@@ -187,6 +189,7 @@
 	for _, mb := range d.members {
 		if mb.backend.id == m.Backend && mb.backend.boot == m.Boot {
 			mb.backend.down, mb.backend.downAt = true, c.now
+			mb.backend.touch()
 		}
 	}
 	c.free(d, true)
@@ -258,6 +261,7 @@
 		for _, b := range p.order {
 			if b.id == m.Backend && b.boot == m.Boot {
 				b.down, b.downAt = true, c.now
+				b.touch()
 			}
 		}
 		c.drainQueue(p)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -156,6 +156,8 @@
 		return
 	}
 	serve, why := c.mayServe(p.key.domain)
+	speed := c.topSpeed(p)
+	_, group := c.largestMemory(p, "")
 	for _, d := range p.queue.all() {
 		left, quarantined := c.quarantined(d)
 		switch {
@@ -165,21 +167,29 @@
 			c.refuse(d, refusal.New(refusal.DeadlineExceeded, "the deadline passed in the queue"))
 		case !serve:
 			c.refuse(d, refusal.New(refusal.NoConfig, why).After(time.Second))
-		default:
-			c.refuseHopeless(p, d)
+		case group > 0 && d.tokens() > group:
+			c.refuse(d, refusal.New(refusal.NoCapacity, "too few engines are left for this prompt").After(noBackendRetry))
+		case c.now+seconds(float64(d.req.PromptTokens)/speed)+p.times.decode(d) > d.end:
+			// Only those that are late without a cached prefix need a closer look.
+			if f, ok := c.forecast(p, d); ok && c.now+f.service > d.end {
+				c.refuse(d, refusal.New(refusal.DeadlineUnreachable, "the deadline can no longer be met").After(f.wait))
+			}
 		}
 	}
 }
 
-func (c *Core) refuseHopeless(p *pool, d *dispatch) {
-	f, ok := c.forecast(p, d)
-	if ok && c.now+f.service > d.end {
-		c.refuse(d, refusal.New(refusal.DeadlineUnreachable, "the deadline can no longer be met").After(f.wait))
-		return
+// topSpeed returns the highest prefill speed in a pool, in tokens/s.
+func (c *Core) topSpeed(p *pool) float64 {
+	top := 0.0
+	for _, b := range p.order {
+		if ok, _ := c.usable(b); ok {
+			top = max(top, c.speedOf(b))
+		}
 	}
-	if _, group := c.largestMemory(p, d.req.Model); group > 0 && d.tokens() > group {
-		c.refuse(d, refusal.New(refusal.NoCapacity, "too few engines are left for this prompt").After(2*time.Second))
+	if top == 0 {
+		return defaultPrefillSpeed
 	}
+	return top
 }
 
 // refuseQueued refuses all queued requests, for a planned stop.
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -33,6 +33,9 @@
 	times times
 	// next is the position of the round robin policy.
 	next int
+
+	sizes      map[string]sizes
+	sizesEvent uint64
 }
 
 // backend is one backend server.
@@ -71,6 +74,7 @@
 	// foreign caches the count of requests that other owners started.
 	foreign      int
 	foreignStale bool
+	memo         memo
 }
 
 type dispatchState int
