Close gaps in ownership, groups and queueing

Cause: review. A stopping process passed on a lease that another owner could still hold; members of a lost group counted as free although they may run on; a copy confined to a full backend server blocked its flow; the table of harmless fingerprints could fill up. Change: a stopping process waits like any new owner; such members count until a later report; a flow is searched behind confined requests; two generations.

--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -22,9 +22,8 @@
 	p := c.pool(a.FailureDomain, a.Service)
 	b := p.backends[a.ID]
 	if b == nil {
-		if c.releasing {
-			return c.reply(0, true)
-		}
+		// Also while releasing: to pass on a lease that another owner may still hold,
+		// this process must wait for it like any new owner.
 		b = p.add(a.ID)
 	} else if a.Boot < b.boot || (a.Boot == b.boot && a.Sequence <= b.last.Sequence) {
 		// An announcement that was overtaken must not prolong the lease.
@@ -39,6 +38,7 @@
 	b.lease = max(b.lease, c.arrival()+announce.Lease)
 	c.takeReport(b, a)
 	b.touch()
+	c.assignLong(p, c.engines(p))
 	c.reconcile(b)
 	c.drainQueue(p)
 	return c.reply(max(0, b.lease-c.now), false)
@@ -104,7 +104,7 @@
 func (c *Core) newBoot(b *backend, boot uint64) {
 	for _, d := range sortedOpen(b) {
 		if d.state != stateGranted {
-			c.free(d, true)
+			c.free(d, false) // other members of a group may still run it
 		}
 	}
 	b.boot = boot
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -18,6 +18,9 @@
 	// holdAfter is the wait after which memory is kept free for a request that
 	// fits nowhere, so that smaller ones cannot starve it.
 	holdAfter = time.Second
+	// maxScan bounds how far a flow is searched behind requests that wait for a
+	// particular backend server.
+	maxScan = 8
 )
 
 // foreignOpen counts the requests on a backend server that this dispatcher did
@@ -175,11 +178,21 @@
 	held := map[*backend]*dispatch{}
 	failed := map[shape]uint64{}
 	for _, f := range c.ordered(&p.queue) {
-		d := f.items[0]
+		if done := c.drainFlow(p, f, held, failed); done {
+			return true
+		}
+	}
+	return false
+}
+
+// drainFlow grants the first request of a flow, or one behind it if the first waits
+// for a particular backend server only.
+func (c *Core) drainFlow(p *pool, f *flow, held map[*backend]*dispatch, failed map[shape]uint64) bool {
+	for _, d := range f.items[:min(len(f.items), maxScan)] {
 		s := shape{d.long, c.now-d.arrived <= max(shortPatience, d.target), d.req.Model}
-		plain := !d.suspect && len(d.req.Exclude) == 0
-		if least, tried := failed[s]; tried && plain && d.tokens() >= least {
-			continue // a smaller request of this kind has found no room
+		free := !c.restricted(d)
+		if least, tried := failed[s]; tried && free && d.tokens() >= least {
+			return false // a smaller request of this kind has found no room
 		}
 		if c.homeElsewhere(d) {
 			return true // refused, and thereby removed
@@ -189,17 +202,26 @@
 			c.grant(d, members)
 			return true
 		}
-		if plain && (failed[s] == 0 || d.tokens() < failed[s]) && c.unproven(d) == nil {
-			failed[s] = d.tokens()
+		if free {
+			if failed[s] == 0 || d.tokens() < failed[s] {
+				failed[s] = d.tokens()
+			}
+			c.holdFor(d, held)
+			return false
 		}
-		c.holdFor(d, held)
 	}
 	return false
 }
 
+// restricted tells whether a request may use only some of the backend servers that
+// others of its kind may use.
+func (c *Core) restricted(d *dispatch) bool {
+	return len(d.req.Exclude) > 0 || c.suspected(d) || c.unproven(d) != nil
+}
+
 // holdFor keeps backend servers free for a request that waits long for memory.
 func (c *Core) holdFor(d *dispatch, held map[*backend]*dispatch) {
-	if c.off.hold || d.suspect || c.now-d.arrived < holdAfter || c.fitsSomewhere(d) {
+	if c.off.hold || c.now-d.arrived < holdAfter || c.fitsSomewhere(d) {
 		return
 	}
 	keep := d.holdTargets[:0]
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -190,9 +190,10 @@
 		if mb.backend.id == m.Backend && mb.backend.boot == m.Boot {
 			mb.backend.down, mb.backend.downAt = true, c.now
 			mb.backend.touch()
+			c.assignLong(d.pool, c.engines(d.pool))
 		}
 	}
-	c.free(d, true)
+	c.free(d, false) // other members of a group may still run it
 }
 
 // EntryLost tells that an entry process is gone, with all incarnations up to the
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -21,8 +21,8 @@
 	settle = time.Second
 	// maxFingerprints bounds the table. The oldest evidence is dropped first.
 	maxFingerprints = 65536
-	// maxProven bounds the fingerprints that are remembered as harmless.
-	maxProven = 65536
+	// maxProven bounds the fingerprints remembered as harmless in each generation.
+	maxProven = 32768
 )
 
 // Crash identifies the crash of one backend server.
@@ -35,8 +35,11 @@
 type Table struct {
 	records map[string]*record
 	// sole holds the crashes that are attributed to one fingerprint alone.
-	sole   map[Crash]soleCrash
-	proven map[string]time.Duration
+	sole map[Crash]soleCrash
+	// proven holds harmless fingerprints in two generations: the older one is
+	// dropped when the younger is full or old, which bounds both.
+	proven, provenOld map[string]bool
+	provenSince       time.Duration
 }
 
 type record struct {
@@ -51,7 +54,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{records: map[string]*record{}, sole: map[Crash]soleCrash{}, proven: map[string]time.Duration{}}
+	return &Table{records: map[string]*record{}, sole: map[Crash]soleCrash{}, proven: map[string]bool{}}
 }
 
 // Crashed records that a backend server crashed while the request ran there.
@@ -62,6 +65,7 @@
 		return
 	}
 	delete(t.proven, fingerprint)
+	delete(t.provenOld, fingerprint)
 	r := t.records[fingerprint]
 	if r == nil {
 		if len(t.records) >= maxFingerprints {
@@ -85,9 +89,10 @@
 		return
 	}
 	delete(t.records, fingerprint)
-	if len(t.proven) < maxProven {
-		t.proven[fingerprint] = now
+	if len(t.proven) >= maxProven || now-t.provenSince >= Memory {
+		t.proven, t.provenOld, t.provenSince = map[string]bool{}, t.proven, now
 	}
+	t.proven[fingerprint] = true
 }
 
 // Count returns how many crashes are attributed to a fingerprint.
@@ -127,8 +132,7 @@
 
 // Proven tells whether a fingerprint completed a run since its last crash.
 func (t *Table) Proven(fingerprint string) bool {
-	_, ok := t.proven[fingerprint]
-	return ok
+	return t.proven[fingerprint] || t.provenOld[fingerprint]
 }
 
 // Expire drops evidence older than Memory.
@@ -144,11 +148,6 @@
 			delete(t.sole, crash)
 		}
 	}
-	for fp, at := range t.proven {
-		if now-at >= Memory {
-			delete(t.proven, fp)
-		}
-	}
 }
 
 // Entry is one row of a state dump.
