Keep test ports below the range of outgoing connections

A set-up failed because an outgoing connection of another process had taken the administration port of a state process: the script chose ports up to 58,000, and outgoing connections use those from 32,768. Ports now come from 10,000 to 32,000.

--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -14,11 +14,11 @@
 PIDS=()
 
 # find_base sets BASE to the first port of a range in which no sampled port is
-# in use.
+# in use. The ranges end below 32768, where outgoing connections take their ports.
 find_base() {
   local try port used
   for try in $(seq 1 50); do
-    BASE=$((20000 + (RANDOM % 380) * 100))
+    BASE=$((10000 + (RANDOM % 220) * 100))
     used=0
     for port in 0 1 2 20 100 101 102 200 201 202 300 301 302 400 500 501 502 503; do
       if (exec 3<>"/dev/tcp/127.0.0.1/$((BASE + port))") 2>/dev/null; then used=1; break; fi
