--- a/internal/loadtool/path.go
+++ b/internal/loadtool/path.go
@@ -35,7 +35,7 @@
 
 // DefaultPath returns the measurement that the targets are stated for.
 func DefaultPath() PathSettings {
-	return PathSettings{OpenStreams: []int{1, 64, 1000}, Probes: 300, WarmupRequests: 200, StreamTokens: 4000}
+	return PathSettings{OpenStreams: []int{1, 64, 1000}, Probes: 1000, WarmupRequests: 200, StreamTokens: 4000}
 }
 
 // PathPoint is the result for one number of open streams.
@@ -100,7 +100,7 @@
 }
 
 func (t *Tool) probe(ctx context.Context, c *Client, nonce uint64) *Result {
-	return c.Do(ctx, t.call(nonce, 2))
+	return c.Do(ctx, t.call(nonce, 1))
 }
 
 // openStreams are streams that are being received in the background.
