--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -534,3 +534,38 @@
 	}
 	return string(env.GetDumpReply().GetDocument())
 }
+
+// dispatcher returns the entry process that owns the first engine.
+func (c *cluster) dispatcher() int {
+	c.t.Helper()
+	found := -1
+	c.eventually("one entry process dispatches", func() bool {
+		for i, e := range c.entries {
+			if e == nil {
+				continue
+			}
+			var doc struct {
+				Pools struct {
+					Pools []struct {
+						Backends []struct {
+							LeaseMS int64 `json:"lease_left_ms"`
+						} `json:"backends"`
+					} `json:"pools"`
+				} `json:"pools"`
+			}
+			if json.Unmarshal([]byte(c.dump(i)), &doc) != nil {
+				continue
+			}
+			for _, p := range doc.Pools.Pools {
+				for _, b := range p.Backends {
+					if b.LeaseMS > 0 {
+						found = i
+						return true
+					}
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
