--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -181,7 +181,7 @@
 			set.Instances = append(set.Instances, standin.InstanceSettings{
 				ID: fmt.Sprintf("engine-%s-%d", domainName(d), i+1), Kind: announce.KindModel, Listen: freePorts(c.t, 1)[0],
 				FailureDomain: domainName(d), Service: "assistant", Models: []string{testModel},
-				Entries: announceTo, Model: &model,
+				Entries: announceTo, Model: &model, ColdLimitRequests: uint32(c.layout.coldLimit),
 			})
 		}
 		if c.layout.plain {
@@ -535,6 +535,27 @@
 	return string(env.GetDumpReply().GetDocument())
 }
 
+// poolDump is what the tests read of a pool in a state dump.
+type poolDump struct {
+	Backends []struct {
+		LeaseMS  int64  `json:"lease_left_ms"`
+		Reserved uint64 `json:"reserved_tokens"`
+	} `json:"backends"`
+}
+
+// pools returns the pools that an entry process dispatches.
+func (c *cluster) pools(i int) []poolDump {
+	var doc struct {
+		Pools struct {
+			Pools []poolDump `json:"pools"`
+		} `json:"pools"`
+	}
+	if err := json.Unmarshal([]byte(c.dump(i)), &doc); err != nil {
+		return nil
+	}
+	return doc.Pools.Pools
+}
+
 // dispatcher returns the entry process that owns the first engine.
 func (c *cluster) dispatcher() int {
 	c.t.Helper()
@@ -544,24 +565,10 @@
 			if e == nil {
 				continue
 			}
-			var doc struct {
-				Pools struct {
-					Pools []struct {
-						Backends []struct {
-							LeaseMS int64 `json:"lease_left_ms"`
-						} `json:"backends"`
-					} `json:"pools"`
-				} `json:"pools"`
-			}
-			if json.Unmarshal([]byte(c.dump(i)), &doc) != nil {
-				continue
-			}
-			for _, p := range doc.Pools.Pools {
-				for _, b := range p.Backends {
-					if b.LeaseMS > 0 {
-						found = i
-						return true
-					}
+			for _, p := range c.pools(i) {
+				if len(p.Backends) > 0 && p.Backends[0].LeaseMS > 0 {
+					found = i
+					return true
 				}
 			}
 		}
