--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -64,7 +64,11 @@
 		b.touch()
 	}
 	delete(c.dispatches, d.id)
-	c.ended[d.id] = endedDispatch{at: c.now, finished: finished}
+	e := endedDispatch{at: c.now, finished: finished}
+	if d.state >= stateStarted && (d.lost || !finished) {
+		e.interrupted = d
+	}
+	c.ended[d.id] = e
 }
 
 func (b *backend) dropPending(d *dispatch) {
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -134,6 +134,9 @@
 	finished bool
 	// expired holds a dispatch whose permit ran out, for a late start report.
 	expired *dispatch
+	// interrupted holds a started dispatch whose end was not reported as done;
+	// its caller may come back for the rest of the stream.
+	interrupted *dispatch
 }
 
 func (d *dispatch) tokens() uint64 { return d.req.PromptTokens + d.req.MaxOutputTokens }
--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -56,7 +56,7 @@
 // Guards against engine memory that is lost when the caller leaves, when the
 // deadline passes and when the engine is silent (promises 1 and 2).
 func TestMemoryIsGivenBack(t *testing.T) {
-	c := newCluster(t, layout{domains: 1, entriesPerDomain: 2, enginesPerDomain: 2, coldLimit: 8})
+	c := newCluster(t, layout{domains: 1, entriesPerDomain: 2, enginesPerDomain: 2, coldLimit: 8, timeScale: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for i := range 4 {
@@ -68,8 +68,10 @@
 		})
 	}
 	c.eventually("streams are open", func() bool { return c.running() >= 4 })
+	ended := c.cancelled()
 	cancel()
 	wg.Wait()
+	c.eventually("the engines have cancelled the streams", func() bool { return c.cancelled()-ended >= 4 })
 	c.eventually("memory is given back after the callers left", func() bool { return c.reserved() == 0 })
 
 	for _, e := range c.engines() {
@@ -86,6 +88,15 @@
 	c.eventually("memory is given back after the deadline", func() bool { return c.reserved() == 0 })
 }
 
+// cancelled counts the requests that engines gave up before their end.
+func (c *cluster) cancelled() uint64 {
+	sum := uint64(0)
+	for _, e := range c.engines() {
+		sum += e.Stats().Cancelled
+	}
+	return sum
+}
+
 // reserved returns the memory that all engines hold.
 func (c *cluster) reserved() uint64 {
 	sum := uint64(0)
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -159,6 +159,8 @@
 			return errors.Trace(err)
 		}
 		return st.Send(wire.AckEnvelope())
+	case *wirepb.Envelope_FindDispatch:
+		return s.serveFind(ctx, st, body.FindDispatch)
 	case *wirepb.Envelope_ConfigPull:
 		return s.sync.ServePull(st, body.ConfigPull)
 	case *wirepb.Envelope_Dump:
@@ -172,6 +174,18 @@
 	}
 }
 
+func (s *Server) serveFind(ctx context.Context, st *wire.Stream, m *wirepb.FindDispatch) error {
+	var found *wirepb.FoundDispatch
+	err := s.loop.do(ctx, func(c *control) { found = c.core.Find(c.now(), m.GetRequestId(), m.GetAccount()) })
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if found == nil {
+		found = &wirepb.FoundDispatch{}
+	}
+	return st.Send(&envelope{Body: &wirepb.Envelope_FoundDispatch{FoundDispatch: found}})
+}
+
 func (s *Server) serveHeartbeat(ctx context.Context, st *wire.Stream, hb *wirepb.PeerHeartbeat) error {
 	s.sync.NotePeer(hb.GetSelf().GetAddress(), hb.GetConfigIndex(), hb.GetConfigDigest())
 	var self *wirepb.PeerHeartbeat
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,6 +40,10 @@
 		s.listModels(w, hr, v, id)
 		return
 	}
+	if hr.Method == http.MethodGet && strings.HasPrefix(hr.URL.Path, streamsPath) {
+		s.resumeForCaller(w, hr, v, id)
+		return
+	}
 	r, ref := s.admit(w, hr, v, id)
 	if ref != nil {
 		s.refuse(w, id, ref)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,6 +76,13 @@
 	return &Stream{ID: id, w: w, rc: http.NewResponseController(w)}
 }
 
+// ResumeStream returns a stream that continues after the numbered event last.
+func ResumeStream(w http.ResponseWriter, id string, last uint64) *Stream {
+	s := NewStream(w, id)
+	s.nextNumber = last + 1
+	return s
+}
+
 // Forward copies events from body until the terminal event. Cancel is called
 // with ErrStalled when the engine stalls and must make reads of body fail.
 func (s *Stream) Forward(ctx context.Context, body io.Reader, cancel context.CancelCauseFunc) error {
