Let tests shorten the limit on proposals, and prove the outcome codes

Change: the limit is an option, 50 ms in the history test, and faults hit the leader in two of three cases. A test covers a proposal whose entry was replaced by another leader.

--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -28,6 +28,7 @@
 	dir      string
 	replicas []ReplicaConfig
 	entries  uint64
+	timeout  time.Duration
 	servers  map[string]*Server
 
 	mu    sync.Mutex
@@ -72,7 +73,7 @@
 	}
 	r, _ := set.replica(name)
 	set.Listen, set.FailureDomain = r.Address, r.FailureDomain
-	s, err := Start(set, Options{Dial: c.dialer(name)}, c.logger(name))
+	s, err := Start(set, Options{Dial: c.dialer(name), ProposeTimeout: c.timeout}, c.logger(name))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/stateserver/history_test.go
+++ b/internal/stateserver/history_test.go
@@ -69,6 +69,8 @@
 	const callers, callsPerKey, maxCalls = 6, 12, 20_000
 	c := newCluster(t, 3)
 	c.entries = 25
+	// A short limit leaves many outcomes unknown.
+	c.timeout = 50 * time.Millisecond
 	c.startAll()
 	c.leader()
 	var mu sync.Mutex
@@ -123,13 +125,17 @@
 	}
 }
 
-// disturb cuts off, stops and restarts replicas, one at a time.
+// disturb cuts off, stops and restarts replicas, mostly the leader, one at a
+// time.
 func (c *cluster) disturb(rng *rand.Rand) {
 	const faults = 6
 	pause := func() { time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond) }
 	for range faults {
 		pause()
-		name := c.replicas[rng.IntN(len(c.replicas))].Name
+		name := c.leader()
+		if rng.IntN(3) == 0 {
+			name = c.others(name)[0]
+		}
 		if rng.IntN(2) == 0 {
 			c.stop(name)
 			pause()
--- a/internal/stateserver/propose.go
+++ b/internal/stateserver/propose.go
@@ -36,7 +36,7 @@
 )
 
 const (
-	// proposeTimeout bounds a proposal. It is above the time of an election and
+	// proposeTimeout is the default bound on a proposal. It is above the time of an election and
 	// the catch-up of a follower.
 	proposeTimeout = 5 * time.Second
 	// leaderWait is how long a call waits for a leader to be elected.
@@ -153,7 +153,7 @@
 
 // propose answers a Propose call.
 func (s *Server) propose(ctx context.Context, st *wire.Stream, p *wirepb.Propose) error {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.opts.ProposeTimeout)
 	defer cancel()
 	cmd := p.GetCommand()
 	if r := checkCommand(cmd); r != nil {
--- a/internal/stateserver/query.go
+++ b/internal/stateserver/query.go
@@ -35,7 +35,7 @@
 // queryClaim answers a ClaimQuery call. A query of another replica has been
 // forwarded already.
 func (s *Server) queryClaim(ctx context.Context, st *wire.Stream, q *wirepb.ClaimQuery) error {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.opts.ProposeTimeout)
 	defer cancel()
 	ask := func(ch chan<- outcome) message {
 		return claimQuery{account: q.GetAccount(), key: q.GetKey(), reply: ch}
--- a/internal/stateserver/server.go
+++ b/internal/stateserver/server.go
@@ -80,6 +80,8 @@
 	FS wal.FS
 	// Now returns the monotonic time since the process started.
 	Now func() time.Duration
+	// ProposeTimeout bounds a proposal or query; zero means the default.
+	ProposeTimeout time.Duration
 }
 
 // Server is a running replica.
@@ -117,6 +119,9 @@
 		start := time.Now()
 		opts.Now = func() time.Duration { return time.Since(start) }
 	}
+	if opts.ProposeTimeout == 0 {
+		opts.ProposeTimeout = proposeTimeout
+	}
 	tlsConfig, err := loadTLS(set)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/stateserver/server_test.go
+++ b/internal/stateserver/server_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"bilberryhub/internal/statemachine"
 	"bilberryhub/internal/wirepb"
@@ -152,6 +153,18 @@
 	}
 }
 
+// TestReplacedProposal guards against a proposal that gets the result of another
+// leader's entry at its index.
+func TestReplacedProposal(t *testing.T) {
+	answers := make(chan outcome, 1)
+	s := &Server{metrics: newServerMetrics("state-a"), opts: Options{Now: func() time.Duration { return 0 }}}
+	l := &loop{s: s, waiters: map[uint64]waiter{5: {term: 2, reply: answers}}}
+	l.answerWaiter(&wirepb.LogEntry{Index: 5, Term: 3}, &wirepb.Result{Index: 5})
+	if o := <-answers; o.code != codeNoLeader || o.result != nil {
+		t.Fatalf("a proposal of term 2 got %+v from an entry of term 3", o)
+	}
+}
+
 // TestRacingOperators guards against two manifests with one number in force.
 func TestRacingOperators(t *testing.T) {
 	c := newCluster(t, 3)
