Test length classes and choice, and suspects sent to several domains

Cause: trial mutations showed checks that nothing tested: hysteresis and bounds of the long engines, and the single failure domain for suspects. Change: a table for the choice, a test of the classes, denser bursts.

--- /dev/null
+++ b/internal/dispatch/classes_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a separation that does not follow the traffic, that takes all or
+// no engines for long prefills, and that changes on every fluctuation.
+func TestClassesFollowTraffic(t *testing.T) {
+	const base = 3000.0
+	run := func(engines int, shorts, longs int, k *classes, c *Core) {
+		for c.now = 0; c.now < 30*time.Second; c.now += classesEvery {
+			for range shorts {
+				k.observe(c.now, 1000)
+			}
+			for range longs {
+				k.observe(c.now, 50000)
+			}
+			c.adapt(k, engines, base)
+		}
+	}
+	for _, x := range []struct{ engines, shorts, longs, want int }{
+		{10, 10, 0, 1},  // only short requests: one engine stays available
+		{10, 0, 10, 9},  // only long ones: one engine stays free of them
+		{10, 50, 1, 4},  // half of the work is long: 0.9 * 0.5 * 10, rounded
+		{2, 50, 1, 1},   // two engines: one each
+		{2, 0, 10, 1},   // also when all are long
+		{1, 50, 1, 1},   // one engine: no separation
+		{28, 150, 1, 6}, // a quarter of the work: 0.9 * 0.25 * 28, rounded
+	} {
+		c, k := New(Config{}), &classes{boundary: base}
+		run(x.engines, x.shorts, x.longs, k, c)
+		if k.long != x.want {
+			t.Errorf("%+v: %d long engines", x, k.long)
+		}
+		if b := float64(k.boundary); b < base*boundaryLow || b > base*boundaryHigh {
+			t.Errorf("%+v: boundary %v", x, b)
+		}
+	}
+	// Eight of ten engines fail: one of the last two stays free of long prefills.
+	c, k := New(Config{}), &classes{boundary: base}
+	run(10, 0, 10, k, c)
+	if c.adapt(k, 2, base); k.long != 1 {
+		t.Errorf("%d long engines of 2", k.long)
+	}
+	// Traffic alternates between two mixtures on both sides of a rounding limit, and
+	// now and then only long prompts arrive for less than the dwell time.
+	c, k = New(Config{}), &classes{boundary: base}
+	mix := func(shorts, longs int) {
+		k.samples = nil
+		for range shorts {
+			k.observe(c.now, 1000)
+		}
+		for range longs {
+			k.observe(c.now, 50000)
+		}
+		c.now += classesEvery
+		c.adapt(k, 10, base)
+	}
+	for range 10 {
+		mix(50, 1)
+	}
+	for i := range 60 {
+		if i%10 < 2 {
+			mix(0, 1)
+		} else {
+			mix(43+3*(i%2), 1)
+		}
+		if k.long != 4 {
+			t.Fatalf("step %d: %d long engines instead of 4", i, k.long)
+		}
+	}
+}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -269,7 +269,7 @@
 	left := 20
 	// The next copies come after the answer to the first ones. Copies sent at the
 	// same time through several failure domains can crash one backend server in each.
-	for at := 25 * time.Second; left > 0; at += 300*time.Millisecond + w.upTo(2*time.Second) {
+	for at := 25 * time.Second; left > 0; at += 300*time.Millisecond + w.upTo(500*time.Millisecond) {
 		n := min(left, 1+w.rng.IntN(10))
 		left -= n
 		w.after(at, func() { burst(n) })
