Count confirmations from probes and dials apart from callers

Cause: a state process stamped the leader's confirmation when it read a heartbeat, so that after a pause it called itself fresh for up to a second on heartbeats that had waited in its buffers. wire.Client dialled under its mutex, so that callers waited up to 2 s for the dial of another caller, whatever their own contexts said.

Change: a follower sends probes to the leader and counts a heartbeat from the probe that it echoes; the bookkeeping of probes moves into configsync.Probes, which both sides use. wire.Client dials in the background, one dial at a time, and each caller waits at most for its own context. Close ends a dial.

--- a/internal/configsync/follow.go
+++ b/internal/configsync/follow.go
@@ -11,9 +11,6 @@
 	"bilberryhub/internal/wirepb"
 )
 
-// maxProbes bounds the unanswered probes of one subscription.
-const maxProbes = 16
-
 // subscription is one stream to a state process.
 type subscription struct {
 	syncer *Syncer
@@ -21,19 +18,13 @@
 	// name is the address, for errors.
 	name string
 
-	mu     sync.Mutex
-	probes []probe
+	probes Probes[time.Time]
 
 	// bad says why the state process is not usable, since badSince.
 	bad      string
 	badSince time.Time
 }
 
-type probe struct {
-	id uint64
-	at time.Time
-}
-
 // follow subscribes to one state process and returns when it is not usable.
 func (s *Syncer) follow(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -74,18 +65,8 @@
 func (sub *subscription) nextProbe() *wirepb.Envelope {
 	at := sub.syncer.opts.Now()
 	have := sub.syncer.offered()
-	sub.mu.Lock()
-	defer sub.mu.Unlock()
-	id := uint64(1)
-	if n := len(sub.probes); n > 0 {
-		id = sub.probes[n-1].id + 1
-	}
-	sub.probes = append(sub.probes, probe{id, at})
-	if len(sub.probes) > maxProbes {
-		sub.probes = sub.probes[1:]
-	}
 	return &wirepb.Envelope{Body: &wirepb.Envelope_Subscribe{Subscribe: &wirepb.Subscribe{
-		KnownIndex: have.index, KnownDigest: have.digest, Probe: id,
+		KnownIndex: have.index, KnownDigest: have.digest, Probe: sub.probes.Next(at),
 	}}}
 }
 
@@ -105,24 +86,6 @@
 	}
 }
 
-// sentAt returns when the probe was sent, and false for one that is unknown.
-// The last probe stays in the list, because later heartbeats echo it as well.
-func (sub *subscription) sentAt(id uint64) (time.Time, bool) {
-	sub.mu.Lock()
-	defer sub.mu.Unlock()
-	if id == 0 && len(sub.probes) > 0 && sub.probes[0].id == 1 {
-		// A replica that does not echo probes has at least answered the first
-		// one, by which the stream was opened.
-		return sub.probes[0].at, true
-	}
-	for _, p := range sub.probes {
-		if p.id == id {
-			return p.at, true
-		}
-	}
-	return time.Time{}, false
-}
-
 func (sub *subscription) receive(env *wirepb.Envelope) error {
 	switch body := env.GetBody().(type) {
 	case *wirepb.Envelope_ConfigSnapshot:
@@ -158,7 +121,7 @@
 	case hb.GetDigest() != have.digest:
 		return sub.judge("has another configuration at this index")
 	}
-	at, ok := sub.sentAt(hb.GetProbe())
+	at, ok := sub.probes.SentAt(hb.GetProbe())
 	if !ok {
 		return sub.judge("does not echo probes")
 	}
--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -17,8 +17,9 @@
 	// configHeartbeatInterval is the time between two ConfigHeartbeats.
 	configHeartbeatInterval = 500 * time.Millisecond
 	// confirmationLifetime is how long a heartbeat of the leader confirms the
-	// configuration here: two intervals, so that one late heartbeat does not
-	// end it. Subscribers call a configuration stale after 3 s.
+	// configuration here, counted from the probe that it echoes: two intervals,
+	// so that a probe may be answered one interval late. Subscribers call a
+	// configuration stale after 3 s.
 	confirmationLifetime = 2 * configHeartbeatInterval
 	// leadershipLifetime is how long the loop's last look at the lease counts.
 	// A loop that stalls for longer makes the replica not fresh.
@@ -59,7 +60,8 @@
 	leads   bool
 	contact time.Duration
 	leader  string
-	// confirmed is the last heartbeat that the leader sent with a valid lease.
+	// confirmed is when the probe was sent that the last heartbeat of the leader
+	// with a valid lease echoed.
 	confirmed       time.Duration
 	confirmedBy     string
 	confirmedConfig uint64
@@ -127,14 +129,22 @@
 func (s *Server) followLeader(ctx context.Context, leader, address string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// The highest index asks for heartbeats only.
-	st, err := s.clients.get(address).Open(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Subscribe{
-		Subscribe: &wirepb.Subscribe{KnownIndex: math.MaxUint64},
-	}})
+	probes := &configsync.Probes[time.Duration]{}
+	st, err := s.clients.get(address).Open(ctx, s.leaderProbe(probes))
 	if err != nil {
 		return
 	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	defer st.Close()
+	defer cancel()
+	wg.Go(func() {
+		for sleep(ctx, configHeartbeatInterval) {
+			if st.Send(s.leaderProbe(probes)) != nil {
+				cancel()
+			}
+		}
+	})
 	for *s.leader.Load() == leader {
 		// A leader that is silent is replaced; the timer ends the wait for it.
 		timer := time.AfterFunc(confirmationLifetime, cancel)
@@ -143,13 +153,30 @@
 		if err != nil || st.Peer().ID != leader {
 			return
 		}
-		if hb := env.GetConfigHeartbeat(); hb.GetFresh() {
-			f := &s.freshness
-			f.mu.Lock()
-			f.confirmed, f.confirmedBy, f.confirmedConfig, f.hasConfirmation = s.opts.Now(), leader, hb.GetIndex(), true
-			f.mu.Unlock()
-		}
+		s.confirm(leader, env.GetConfigHeartbeat(), probes)
+	}
+}
+
+// leaderProbe returns a Subscribe message that the leader's heartbeats echo.
+// The highest index asks for heartbeats only.
+func (s *Server) leaderProbe(probes *configsync.Probes[time.Duration]) *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_Subscribe{
+		Subscribe: &wirepb.Subscribe{KnownIndex: math.MaxUint64, Probe: probes.Next(s.opts.Now())},
+	}}
+}
+
+// confirm records a heartbeat of the leader. It counts from the probe that it
+// echoes: this process may have been paused while the heartbeat waited in a
+// buffer, and a time of receipt would make it fresh on old heartbeats.
+func (s *Server) confirm(leader string, hb *wirepb.ConfigHeartbeat, probes *configsync.Probes[time.Duration]) {
+	at, ok := probes.SentAt(hb.GetProbe())
+	if !hb.GetFresh() || !ok {
+		return
 	}
+	f := &s.freshness
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmed, f.confirmedBy, f.confirmedConfig, f.hasConfirmation = at, leader, hb.GetIndex(), true
 }
 
 // subscribe answers a Subscribe call. A subscriber that is slow or was away
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -23,6 +23,19 @@
 	session *yamux.Session
 	peer    Peer
 	closed  bool
+	// attempt is the dial in flight, or nil.
+	attempt *attempt
+}
+
+// attempt is one dial with its handshake. It is shared by all callers that
+// need the session meanwhile, and does not end with the call that started it.
+type attempt struct {
+	cancel context.CancelFunc
+	// done is closed when the fields below are set.
+	done    chan struct{}
+	session *yamux.Session
+	peer    Peer
+	err     error
 }
 
 // NewClient returns a client that has not dialled yet.
@@ -78,6 +91,9 @@
 	c.mu.Lock()
 	session := c.session
 	c.session, c.closed = nil, true
+	if c.attempt != nil {
+		c.attempt.cancel()
+	}
 	c.mu.Unlock()
 	if session == nil {
 		return nil
@@ -94,26 +110,56 @@
 	_ = session.Close()
 }
 
+// connect returns the session, and waits for a dial at most as long as ctx
+// lasts.
 func (c *Client) connect(ctx context.Context) (*yamux.Session, Peer, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.closed {
+		c.mu.Unlock()
 		return nil, Peer{}, errors.Errorf("client of %s is closed", c.address)
 	}
 	if c.session != nil && !c.session.IsClosed() {
+		defer c.mu.Unlock()
 		return c.session, c.peer, nil
 	}
-	session, peer, err := c.dial(ctx)
-	if err != nil {
-		return nil, Peer{}, errors.Trace(err)
+	a := c.attempt
+	if a == nil {
+		a = c.startAttempt()
 	}
-	c.session, c.peer = session, peer
-	return session, peer, nil
+	c.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, Peer{}, errors.Annotatef(ctx.Err(), "connect to %s", c.address)
+	case <-a.done:
+		return a.session, a.peer, errors.Trace(a.err)
+	}
+}
+
+// startAttempt dials in the background. The caller holds the mutex.
+func (c *Client) startAttempt() *attempt {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	a := &attempt{cancel: cancel, done: make(chan struct{})}
+	c.attempt = a
+	go func() {
+		defer cancel()
+		session, peer, err := c.dial(ctx)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if err == nil && c.closed {
+			_ = session.Close()
+			session, peer, err = nil, Peer{}, errors.Errorf("client of %s is closed", c.address)
+		}
+		a.session, a.peer, a.err = session, peer, err
+		if err == nil {
+			c.session, c.peer = session, peer
+		}
+		c.attempt = nil
+		close(a.done)
+	}()
+	return a
 }
 
 func (c *Client) dial(ctx context.Context) (*yamux.Session, Peer, error) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-	defer cancel()
 	dial := c.opts.Dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -130,7 +176,7 @@
 		_ = conn.Close()
 		return nil, Peer{}, errors.Annotatef(err, "start session with %s", c.address)
 	}
-	peer, err := c.handshake(session)
+	peer, err := c.handshake(ctx, session)
 	if err != nil {
 		_ = session.Close()
 		return nil, Peer{}, errors.Trace(err)
@@ -138,13 +184,13 @@
 	return session, peer, nil
 }
 
-func (c *Client) handshake(session *yamux.Session) (Peer, error) {
+func (c *Client) handshake(ctx context.Context, session *yamux.Session) (Peer, error) {
 	conn, err := session.OpenStream()
 	if err != nil {
 		return Peer{}, errors.Annotatef(err, "open handshake stream to %s", c.address)
 	}
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
-	s := newStream(context.Background(), conn, Peer{Identity: Identity{ID: c.address}})
+	s := newStream(ctx, conn, Peer{Identity: Identity{ID: c.address}})
 	defer s.Close()
 	if err := s.Send(c.opts.hello()); err != nil {
 		return Peer{}, errors.Trace(err)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -177,3 +177,74 @@
 		t.Fatal("the connection was not closed")
 	}
 }
+
+// Guards against callers that are held up by the dial of another caller for
+// longer than their own context allows, and against one dial per caller.
+func TestConnectHonoursEachContext(t *testing.T) {
+	server := serve(t, options(KindState, "s1"), echo)
+	release := make(chan struct{})
+	var dials atomic.Int32
+	co := options(KindEntry, "e1")
+	co.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials.Add(1)
+		select {
+		case <-release:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	client := NewClient(server.Address(), co)
+	defer client.Close()
+	patient := make(chan error, 1)
+	go func() {
+		_, err := client.Call(context.Background(), dumpCall())
+		patient <- err
+	}()
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		start := time.Now()
+		_, err := client.Call(ctx, dumpCall())
+		cancel()
+		if !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("got %v", err)
+		}
+		// The dial would hold the caller up until the handshake timeout.
+		if waited := time.Since(start); waited > handshakeTimeout/2 {
+			t.Fatalf("gave up after %v", waited)
+		}
+	}
+	close(release)
+	if err := <-patient; err != nil {
+		t.Fatalf("caller that waited: %v", err)
+	}
+	if n := dials.Load(); n != 1 {
+		t.Fatalf("%d dials for one session", n)
+	}
+}
+
+// Guards against a dial that outlives its client.
+func TestCloseEndsDial(t *testing.T) {
+	started := make(chan struct{})
+	co := options(KindEntry, "e1")
+	co.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		close(started)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	client := NewClient("127.0.0.1:1", co)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Call(context.Background(), dumpCall())
+		failed <- err
+	}()
+	<-started
+	start := time.Now()
+	_ = client.Close()
+	if err := <-failed; err == nil {
+		t.Fatal("call on a closed client succeeded")
+	}
+	if waited := time.Since(start); waited > handshakeTimeout/2 {
+		t.Fatalf("dial ended %v after Close", waited)
+	}
+}
