Keep claims as compact records

Change: a record holds the body hash and the claim id as 32 and 16 bytes, account and entry names are shared, and a key that is a uuid takes 16 bytes; a 128-bit hash of account and key finds it. The format on disk is unchanged, and the bytes per claim are the same as before. The bounds test walks the new list with the same checks and also compares list and map.

--- a/internal/statemachine/claims.go
+++ b/internal/statemachine/claims.go
@@ -4,37 +4,26 @@
 	"bytes"
 	"fmt"
 
-	"google.golang.org/protobuf/proto"
-
 	"bilberryhub/internal/invariant"
 	"bilberryhub/internal/wirepb"
 )
 
-type claimKey struct{ account, key string }
-
 // Claim returns the state of a claim, or nil when the key is free.
 func (m *Machine) Claim(account, key string) *wirepb.ClaimState {
-	rec := m.record(claimKey{account, key})
+	rec := m.claims.byKey[newClaimKey(account, key)]
 	if rec == nil {
 		return nil
 	}
 	return claimState(rec, "")
 }
 
-func (m *Machine) record(k claimKey) *wirepb.ClaimRecord {
-	if e, ok := m.claims[k]; ok {
-		return e.Value.(*wirepb.ClaimRecord)
-	}
-	return nil
-}
-
 // claimState describes rec to the claimant with the given claim id. Held is
 // the right to dispatch, which ends when an outcome is recorded.
-func claimState(rec *wirepb.ClaimRecord, claimID string) *wirepb.ClaimState {
-	c := rec.GetClaim()
+func claimState(rec *claimRecord, claimID string) *wirepb.ClaimState {
+	id := rec.id()
 	return &wirepb.ClaimState{
-		Held:    rec.GetOutcome() == nil && c.GetClaimId() == claimID,
-		Outcome: rec.GetOutcome(), ClaimId: c.GetClaimId(), BodyHash: c.GetBodyHash(), Entry: c.GetEntry(),
+		Held:    rec.outcome == nil && id == claimID,
+		Outcome: rec.outcomeMessage(rec.outcome), ClaimId: id, BodyHash: rec.bodyHash[:], Entry: rec.entry.Value(),
 	}
 }
 
@@ -47,10 +36,10 @@
 		r.Index = m.configIndex
 		return r
 	}
-	k := claimKey{c.GetAccount(), c.GetKey()}
-	rec := m.record(k)
-	if rec != nil && rec.GetClaim().GetClaimId() == c.GetClaimId() && bytes.Equal(rec.GetClaim().GetBodyHash(), c.GetBodyHash()) {
-		return &wirepb.Result{Index: rec.GetIndex(), Claim: claimState(rec, c.GetClaimId())}
+	k := newClaimKey(c.GetAccount(), c.GetKey())
+	rec := m.claims.byKey[k]
+	if rec != nil && rec.id() == c.GetClaimId() && rec.sameBody(c.GetBodyHash()) {
+		return &wirepb.Result{Index: rec.index, Claim: claimState(rec, c.GetClaimId())}
 	}
 	if _, void := m.voidIDs.get(c.GetClaimId()); void {
 		return &wirepb.Result{Index: index, Code: CodeClaimVoid, Message: "the claim was abandoned"}
@@ -58,7 +47,7 @@
 	if r, ok := m.proposals.get(proposal); ok {
 		return r
 	}
-	if rec == nil && len(m.claims) < m.limits.Claims {
+	if rec == nil && len(m.claims.byKey) < m.limits.Claims {
 		return m.grantClaim(index, k, c)
 	}
 	r := m.refuseClaim(rec, c)
@@ -71,21 +60,21 @@
 }
 
 func (m *Machine) grantClaim(index uint64, k claimKey, c *wirepb.Claim) *wirepb.Result {
-	_, exists := m.claims[k]
+	_, exists := m.claims.byKey[k]
 	invariant.Must(!exists, "statemachine_one_claim_per_key",
-		"account %s key %s granted to %s while it is claimed", k.account, k.key, c.GetClaimId())
-	rec := &wirepb.ClaimRecord{Claim: c, ClaimedAtMs: m.clockMs, Index: index}
-	m.claims[k] = m.claimOrder.PushBack(rec)
+		"account %s key %s granted to %s while it is claimed", c.GetAccount(), c.GetKey(), c.GetClaimId())
+	rec := newClaimRecord(c, m.clockMs, index)
+	m.claims.add(k, rec)
 	return &wirepb.Result{Index: index, Claim: claimState(rec, c.GetClaimId())}
 }
 
-func (m *Machine) refuseClaim(rec *wirepb.ClaimRecord, c *wirepb.Claim) *wirepb.Result {
+func (m *Machine) refuseClaim(rec *claimRecord, c *wirepb.Claim) *wirepb.Result {
 	switch {
 	case rec == nil:
-		return &wirepb.Result{Code: CodeClaimsFull, Message: fmt.Sprintf("%d claims are kept", len(m.claims))}
-	case !bytes.Equal(rec.GetClaim().GetBodyHash(), c.GetBodyHash()):
+		return &wirepb.Result{Code: CodeClaimsFull, Message: fmt.Sprintf("%d claims are kept", len(m.claims.byKey))}
+	case !rec.sameBody(c.GetBodyHash()):
 		return &wirepb.Result{Code: CodeKeyReused, Message: "the key was used for another request"}
-	case rec.GetOutcome().GetKind() == wirepb.ClaimOutcome_KIND_DONE:
+	case rec.outcome.kindOf() == wirepb.ClaimOutcome_KIND_DONE:
 		return &wirepb.Result{Claim: claimState(rec, c.GetClaimId())}
 	}
 	return &wirepb.Result{
@@ -98,29 +87,27 @@
 // the key may do so. A recorded outcome stays, except that an unknown one may
 // become done.
 func (m *Machine) applyOutcome(index uint64, o *wirepb.ClaimOutcome) *wirepb.Result {
-	k := claimKey{o.GetAccount(), o.GetKey()}
-	rec := m.record(k)
-	held := rec != nil && rec.GetClaim().GetClaimId() == o.GetClaimId()
+	k := newClaimKey(o.GetAccount(), o.GetKey())
+	rec := m.claims.byKey[k]
+	held := rec != nil && rec.id() == o.GetClaimId()
 	if o.GetKind() == wirepb.ClaimOutcome_KIND_NOT_RUN {
 		return m.abandon(index, k, rec, held, o)
 	}
 	if !held {
 		return &wirepb.Result{Index: index, Code: CodeClaimNotHeld, Message: "another claim id holds the key, or none"}
 	}
-	old := rec.GetOutcome()
-	if old != nil && old.GetKind() != wirepb.ClaimOutcome_KIND_UNKNOWN {
+	old := rec.outcome
+	if old != nil && old.kind != wirepb.ClaimOutcome_KIND_UNKNOWN {
 		return repeatedOutcome(index, old, o)
 	}
-	stored := m.storable(o)
-	next := &wirepb.ClaimRecord{Claim: rec.GetClaim(), Outcome: stored, ClaimedAtMs: rec.GetClaimedAtMs(), Index: rec.GetIndex()}
-	m.claims[k].Value = next
-	m.bodyBytes += len(stored.GetBody()) - len(old.GetBody())
-	return &wirepb.Result{Index: index, Already: old.GetKind() == stored.GetKind()}
+	rec.outcome = m.storable(o)
+	m.bodyBytes += rec.outcome.bodyBytes() - old.bodyBytes()
+	return &wirepb.Result{Index: index, Already: old.kindOf() == rec.outcome.kind}
 }
 
-func repeatedOutcome(index uint64, old, o *wirepb.ClaimOutcome) *wirepb.Result {
-	same := old.GetKind() == o.GetKind() && old.GetStatus() == o.GetStatus() &&
-		old.GetContentType() == o.GetContentType() && (old.GetBodyDropped() || bytes.Equal(old.GetBody(), o.GetBody()))
+func repeatedOutcome(index uint64, old *claimOutcome, o *wirepb.ClaimOutcome) *wirepb.Result {
+	same := old.kind == o.GetKind() && old.status == o.GetStatus() &&
+		old.contentType.Value() == o.GetContentType() && (old.bodyDropped || bytes.Equal(old.body, o.GetBody()))
 	if !same {
 		return &wirepb.Result{Index: index, Code: CodeOutcomeConflict, Message: "another outcome is recorded"}
 	}
@@ -128,21 +115,20 @@
 }
 
 // storable returns o, without its body when there is no room for it.
-func (m *Machine) storable(o *wirepb.ClaimOutcome) *wirepb.ClaimOutcome {
+func (m *Machine) storable(o *wirepb.ClaimOutcome) *claimOutcome {
+	stored := newClaimOutcome(o)
 	size := len(o.GetBody())
-	if size <= maxOutcomeBodyBytes && m.bodyBytes+size <= m.limits.BodyBytes {
-		return o
+	if size > maxOutcomeBodyBytes || m.bodyBytes+size > m.limits.BodyBytes {
+		stored.body, stored.bodyDropped = nil, true
 	}
-	short := proto.CloneOf(o)
-	short.Body, short.BodyDropped = nil, true
-	return short
+	return stored
 }
 
 // abandon frees the key if the claim id holds it. The claim id becomes void in
 // any case: its claim may be committed after this entry and must not be
 // granted then.
-func (m *Machine) abandon(index uint64, k claimKey, rec *wirepb.ClaimRecord, held bool, o *wirepb.ClaimOutcome) *wirepb.Result {
-	if held && rec.GetOutcome() != nil {
+func (m *Machine) abandon(index uint64, k claimKey, rec *claimRecord, held bool, o *wirepb.ClaimOutcome) *wirepb.Result {
+	if held && rec.outcome != nil {
 		return &wirepb.Result{Index: index, Code: CodeOutcomeConflict, Message: "another outcome is recorded"}
 	}
 	if held {
@@ -153,19 +139,16 @@
 }
 
 func (m *Machine) dropClaim(k claimKey) {
-	e := m.claims[k]
-	m.bodyBytes -= len(e.Value.(*wirepb.ClaimRecord).GetOutcome().GetBody())
-	m.claimOrder.Remove(e)
-	delete(m.claims, k)
+	m.bodyBytes -= m.claims.byKey[k].outcome.bodyBytes()
+	m.claims.remove(k)
 }
 
 // expireClaims drops the claims whose retention has ended.
 func (m *Machine) expireClaims() {
-	for e := m.claimOrder.Front(); e != nil; e = m.claimOrder.Front() {
-		rec := e.Value.(*wirepb.ClaimRecord)
-		if m.clockMs-rec.GetClaimedAtMs() < RetentionMs {
+	for rec := m.claims.first; rec != nil; rec = m.claims.first {
+		if m.clockMs-rec.claimedAtMs < RetentionMs {
 			return
 		}
-		m.dropClaim(claimKey{rec.GetClaim().GetAccount(), rec.GetClaim().GetKey()})
+		m.dropClaim(newClaimKey(rec.account.Value(), rec.key()))
 	}
 }
--- a/internal/statemachine/dump.go
+++ b/internal/statemachine/dump.go
@@ -57,7 +57,7 @@
 	d := dump{
 		AppliedIndex: m.applied, ClockMs: m.clockMs, ConfigIndex: m.configIndex, ConfigDigest: m.config.GetDigest(),
 		ManifestNumber: m.manifestNumber, ManifestSHA256: hex.EncodeToString(m.manifestSHA256[:]),
-		Claims: len(m.claims), ClaimsLimit: m.limits.Claims,
+		Claims: len(m.claims.byKey), ClaimsLimit: m.limits.Claims,
 		BodyBytes: m.bodyBytes, BodyBytesLimit: m.limits.BodyBytes, OpenClaims: m.openClaims(),
 		NextFence: m.nextFence, RecentProposals: len(m.proposals.values), VoidClaimIDs: len(m.voidIDs.values),
 	}
@@ -73,17 +73,16 @@
 // openClaims returns the oldest claims without a final outcome.
 func (m *Machine) openClaims() []dumpClaim {
 	var out []dumpClaim
-	for e := m.claimOrder.Front(); e != nil && len(out) < maxDumpedClaims; e = e.Next() {
-		rec := e.Value.(*wirepb.ClaimRecord)
-		if rec.GetOutcome().GetKind() == wirepb.ClaimOutcome_KIND_DONE {
+	for rec := m.claims.first; rec != nil && len(out) < maxDumpedClaims; rec = rec.next {
+		if rec.outcome.kindOf() == wirepb.ClaimOutcome_KIND_DONE {
 			continue
 		}
 		c := dumpClaim{
-			Account: rec.GetClaim().GetAccount(), Key: rec.GetClaim().GetKey(), ClaimID: rec.GetClaim().GetClaimId(),
-			Entry: rec.GetClaim().GetEntry(), AgeMs: m.clockMs - rec.GetClaimedAtMs(),
+			Account: rec.account.Value(), Key: rec.key(), ClaimID: rec.id(),
+			Entry: rec.entry.Value(), AgeMs: m.clockMs - rec.claimedAtMs,
 		}
-		if rec.GetOutcome() != nil {
-			c.Outcome = rec.GetOutcome().GetKind().String()
+		if rec.outcome != nil {
+			c.Outcome = rec.outcome.kind.String()
 		}
 		out = append(out, c)
 	}
--- a/internal/statemachine/machine.go
+++ b/internal/statemachine/machine.go
@@ -8,7 +8,6 @@
 package statemachine
 
 import (
-	"container/list"
 	"crypto/sha256"
 
 	"bilberryhub/internal/invariant"
@@ -87,10 +86,8 @@
 	// config is rebuilt on each change of the configuration.
 	config *wirepb.ConfigSnapshot
 
-	claims map[claimKey]*list.Element
-	// claimOrder lists *wirepb.ClaimRecord by the time of the grant.
-	claimOrder *list.List
-	bodyBytes  int
+	claims    claimTable
+	bodyBytes int
 
 	fences    map[string]*wirepb.FenceRecord
 	nextFence uint64
@@ -105,14 +102,13 @@
 // NewWithLimits returns an empty machine with other bounds.
 func NewWithLimits(l Limits) *Machine {
 	m := &Machine{
-		limits:     l,
-		orders:     map[orderKey]*wirepb.Order{},
-		claims:     map[claimKey]*list.Element{},
-		claimOrder: list.New(),
-		fences:     map[string]*wirepb.FenceRecord{},
-		nextFence:  1,
-		proposals:  newRecent[*wirepb.Result](l.Proposals),
-		voidIDs:    newRecent[struct{}](l.VoidClaimIDs),
+		limits:    l,
+		orders:    map[orderKey]*wirepb.Order{},
+		claims:    newClaimTable(),
+		fences:    map[string]*wirepb.FenceRecord{},
+		nextFence: 1,
+		proposals: newRecent[*wirepb.Result](l.Proposals),
+		voidIDs:   newRecent[struct{}](l.VoidClaimIDs),
 	}
 	m.rebuildConfig()
 	return m
--- a/internal/statemachine/machine_test.go
+++ b/internal/statemachine/machine_test.go
@@ -172,7 +172,7 @@
 }
 
 func encode(t *rapid.T, m *Machine) []byte {
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.Snapshot())
+	b, err := m.Snapshot().Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -214,12 +214,17 @@
 }
 
 func checkBounds(t *rapid.T, m *Machine) {
-	bytes := 0
-	for e := m.claimOrder.Front(); e != nil; e = e.Next() {
-		bytes += len(e.Value.(*wirepb.ClaimRecord).GetOutcome().GetBody())
+	bytes, listed := 0, 0
+	for r := m.claims.first; r != nil; r = r.next {
+		bytes += r.outcome.bodyBytes()
+		listed++
+		if m.claims.byKey[newClaimKey(r.account.Value(), r.key())] != r || (r.next != nil && r.next.previous != r) {
+			t.Fatalf("claim of key %s is not listed and found alike", r.key())
+		}
 	}
-	if bytes != m.bodyBytes || bytes > m.limits.BodyBytes || len(m.claims) > m.limits.Claims || len(m.claims) != m.claimOrder.Len() {
-		t.Fatalf("%d bytes in bodies, counted %d; %d claims, %d listed", bytes, m.bodyBytes, len(m.claims), m.claimOrder.Len())
+	claims := len(m.claims.byKey)
+	if bytes != m.bodyBytes || bytes > m.limits.BodyBytes || claims > m.limits.Claims || claims != listed {
+		t.Fatalf("%d bytes in bodies, counted %d; %d claims, %d listed", bytes, m.bodyBytes, claims, listed)
 	}
 	if len(m.proposals.values) > m.limits.Proposals || len(m.voidIDs.values) > m.limits.VoidClaimIDs ||
 		len(m.orders) > m.limits.Orders || len(m.fences) > m.limits.Fences {
--- a/internal/statemachine/snapshot.go
+++ b/internal/statemachine/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
 
 	"bilberryhub/internal/manifest"
 	"bilberryhub/internal/wirepb"
@@ -10,25 +11,58 @@
 // snapshotFormat is the version of StateSnapshot that this build writes.
 const snapshotFormat = 1
 
-// Snapshot returns the whole state. Equal states give equal messages. The
-// message shares records with the machine, which never changes a record, so
-// it may be encoded while the machine goes on.
-func (m *Machine) Snapshot() *wirepb.StateSnapshot {
+// Snapshot is the whole state at one index. It may be encoded while the machine
+// goes on. It shares what never changes with the machine, and the claims are
+// turned into messages one by one: the messages of a million claims at once
+// would take more memory than the claims themselves.
+type Snapshot struct {
+	// rest is the state without the claims.
+	rest   *wirepb.StateSnapshot
+	claims []snapshotClaim
+}
+
+// snapshotClaim is a claim with the outcome that it had.
+type snapshotClaim struct {
+	rec     *claimRecord
+	outcome *claimOutcome
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() *Snapshot {
 	s := &wirepb.StateSnapshot{
 		Format: snapshotFormat, ClockMs: m.clockMs, AppliedIndex: m.applied,
 		ConfigIndex: m.configIndex, ManifestNumber: m.manifestNumber, Manifest: m.manifest,
 		Orders: m.sortedOrders(), NextFence: m.nextFence, VoidClaimIds: m.voidIDs.ids(),
 		Fences: m.sortedFences(),
-		Claims: make([]*wirepb.ClaimRecord, 0, m.claimOrder.Len()),
-	}
-	for e := m.claimOrder.Front(); e != nil; e = e.Next() {
-		s.Claims = append(s.Claims, e.Value.(*wirepb.ClaimRecord))
 	}
 	for _, id := range m.proposals.ids() {
 		r, _ := m.proposals.get(id)
 		s.Proposals = append(s.Proposals, &wirepb.ProposalRecord{Id: id, Result: r})
 	}
-	return s
+	claims := make([]snapshotClaim, 0, len(m.claims.byKey))
+	for rec := m.claims.first; rec != nil; rec = rec.next {
+		claims = append(claims, snapshotClaim{rec, rec.outcome})
+	}
+	return &Snapshot{rest: s, claims: claims}
+}
+
+// Encode returns the state as an encoded StateSnapshot. Equal states give equal
+// bytes. The encoding of a message may be followed by that of more elements of
+// a repeated field.
+func (s *Snapshot) Encode() ([]byte, error) {
+	options := proto.MarshalOptions{Deterministic: true}
+	data, err := options.Marshal(s.rest)
+	if err != nil {
+		return nil, errors.Annotate(err, "encode state")
+	}
+	one := &wirepb.StateSnapshot{Claims: make([]*wirepb.ClaimRecord, 1)}
+	for _, c := range s.claims {
+		one.Claims[0] = c.rec.message(c.outcome)
+		if data, err = options.MarshalAppend(data, one); err != nil {
+			return nil, errors.Annotatef(err, "encode claim of account %s for key %s", c.rec.account.Value(), c.rec.key())
+		}
+	}
+	return data, nil
 }
 
 // Restore replaces the state by that of s. After an error the machine is
@@ -76,16 +110,22 @@
 func (m *Machine) restoreClaims(records []*wirepb.ClaimRecord) error {
 	last := uint64(0)
 	for _, rec := range records {
-		k := claimKey{rec.GetClaim().GetAccount(), rec.GetClaim().GetKey()}
-		if _, ok := m.claims[k]; ok {
-			return errors.Errorf("two claims of account %s for key %s", k.account, k.key)
+		c := rec.GetClaim()
+		k := newClaimKey(c.GetAccount(), c.GetKey())
+		if _, ok := m.claims.byKey[k]; ok {
+			return errors.Errorf("two claims of account %s for key %s", c.GetAccount(), c.GetKey())
 		}
 		if rec.GetClaimedAtMs() < last || rec.GetClaimedAtMs() > m.clockMs {
-			return errors.Errorf("claim of account %s for key %s has time %d ms out of order", k.account, k.key, rec.GetClaimedAtMs())
+			return errors.Errorf("claim of account %s for key %s has time %d ms out of order", c.GetAccount(), c.GetKey(), rec.GetClaimedAtMs())
+		}
+		if r := checkClaim(c); r != nil {
+			return errors.Errorf("claim of account %s for key %s: %s", c.GetAccount(), c.GetKey(), r.GetMessage())
 		}
 		last = rec.GetClaimedAtMs()
-		m.claims[k] = m.claimOrder.PushBack(rec)
-		m.bodyBytes += len(rec.GetOutcome().GetBody())
+		stored := newClaimRecord(c, rec.GetClaimedAtMs(), rec.GetIndex())
+		stored.outcome = newClaimOutcome(rec.GetOutcome())
+		m.claims.add(k, stored)
+		m.bodyBytes += stored.outcome.bodyBytes()
 	}
 	return nil
 }
--- a/internal/stateserver/bench_test.go
+++ b/internal/stateserver/bench_test.go
@@ -86,7 +86,7 @@
 		s := &wirepb.Snapshot{Index: index, Term: firstTerm, Membership: &wirepb.Membership{
 			Voters: []*wirepb.Replica{r.withID(replicaID(r.Name, rec.Identity))},
 		}}
-		if err := encodeState(s, machine.Snapshot()); err != nil {
+		if s.Data, err = machine.Snapshot().Encode(); err != nil {
 			b.Fatal(err)
 		}
 		if err := w.SaveSnapshot(s, install); err != nil {
--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -147,7 +147,8 @@
 		return
 	}
 	snap := &wirepb.Snapshot{Index: firstIndex, Term: firstTerm, Membership: &wirepb.Membership{Voters: m.members}}
-	if err := encodeState(snap, statemachine.New().Snapshot()); err != nil {
+	var err error
+	if snap.Data, err = statemachine.New().Snapshot().Encode(); err != nil {
 		l.err = err
 		return
 	}
--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -262,20 +262,14 @@
 		Index: l.applied, Term: l.appliedTerm, Membership: proto.CloneOf(l.node.MembershipAt(l.applied)),
 	}
 	l.s.wg.Go(func() {
-		err := encodeState(snap, state)
-		if err == nil {
+		var err error
+		if snap.Data, err = state.Encode(); err == nil {
 			err = l.s.wal.SaveSnapshot(snap, false)
 		}
 		l.s.tell(l.s.ctx, snapshotSaved{snap: snap, err: err})
 	})
 }
 
-func encodeState(snap *wirepb.Snapshot, state *wirepb.StateSnapshot) error {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
-	snap.Data = data
-	return errors.Annotate(err, "encode state")
-}
-
 // snapshotSaved reports the end of a snapshot.
 type snapshotSaved struct {
 	snap *wirepb.Snapshot
