Let go of prompts once an answer has begun

Cause: each open stream kept its prompt three times, and deadlines were set for each event. Change: bodies are released at the first event; write and stall deadlines move in steps of a tenth; profiles on the local administration address.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -9,7 +9,6 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -113,8 +112,20 @@
 }
 
 // onceReader hides the concrete type of the body, so that net/http cannot set
-// GetBody and therefore cannot send the body again.
-type onceReader struct{ io.Reader }
+// GetBody and therefore cannot send the body again. It lets go of the body at
+// its end, because net/http keeps the request for as long as the answer lasts,
+// and a prompt may have several MB.
+type onceReader struct{ data []byte }
+
+func (r *onceReader) Read(p []byte) (int, error) {
+	if len(r.data) == 0 {
+		r.data = nil
+		return 0, io.EOF
+	}
+	n := copy(p, r.data)
+	r.data = r.data[n:]
+	return n, nil
+}
 
 // Do sends r and returns the answer after checking its identity. The caller
 // closes the body. Errors are of type *Error.
@@ -154,7 +165,7 @@
 func newRequest(ctx context.Context, r *Request) (*http.Request, error) {
 	var body io.Reader
 	if len(r.Body) > 0 {
-		body = onceReader{bytes.NewReader(r.Body)}
+		body = &onceReader{data: r.Body}
 	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.Path, body)
 	if err != nil {
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"errors"
 	"io"
@@ -181,12 +182,18 @@
 	return nil
 }
 
+// maxBodyGuess bounds what is allocated for a body before it arrives.
+const maxBodyGuess = 1 << 20
+
 // bodyReadTimeout bounds the time a caller takes to send its body.
 const bodyReadTimeout = 60 * time.Second
 
 func readBody(w http.ResponseWriter, hr *http.Request, limit int64) ([]byte, *refusal.Error) {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
+	// A buffer of the stated size avoids the copies and the slack of a growing one.
+	buf := bytes.NewBuffer(make([]byte, 0, min(max(hr.ContentLength, 0), limit, maxBodyGuess)+bytes.MinRead))
+	_, err := buf.ReadFrom(http.MaxBytesReader(w, hr.Body, limit))
+	body := buf.Bytes()
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -57,6 +57,7 @@
 	st.WriteTimeout = a.server.settings.callerWrite()
 	st.OnFirst = func() {
 		ttft := time.Since(a.start)
+		a.req.release()
 		metricFirstToken.Update(time.Since(a.req.arrived).Seconds())
 		a.res.report(wirepb.Progress_STEP_FIRST_TOKEN, ttft, 1)
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -56,6 +56,15 @@
 
 func (r *request) setBackend(id string) { r.backend.Store(&id) }
 
+// release lets go of the prompt once an answer has begun, after which the
+// request is never dispatched again. A prompt may have several MB.
+func (r *request) release() {
+	r.body, r.header = nil, nil
+	if r.model != nil {
+		r.model.fields, r.model.prefix = nil, nil
+	}
+}
+
 // left returns the time left until the deadline.
 func (r *request) left() time.Duration { return time.Until(r.deadline) }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,9 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
 	})
+	// The profiles are for measurements; the address is local.
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
 		if a.drained.Load() {
 			http.Error(w, "draining", http.StatusServiceUnavailable)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,10 @@
 // Done is the data of the terminal event.
 const Done = "[DONE]"
 
+// deadlineSteps is how many times within a timeout its deadline is moved; the
+// timeout may be short by one step.
+const deadlineSteps = 10
+
 // maxEventBytes bounds one event, and with it the buffer of a stream.
 const maxEventBytes = 64 << 10
 
@@ -69,6 +73,9 @@
 	pending    bool
 	writeErr   error
 	timer      *time.Timer
+	timerSet   time.Time
+	// deadlineSet is when the write deadline was last set.
+	deadlineSet time.Time
 }
 
 // NewStream returns a stream that writes to w.
@@ -166,7 +173,7 @@
 	}
 	m.AppendData(ev.Data)
 	if !s.pending {
-		_ = s.rc.SetWriteDeadline(time.Now().Add(s.WriteTimeout))
+		s.extendWriteDeadline()
 	}
 	if _, err := m.WriteTo(s.w); err != nil {
 		s.writeErr = errors.Wrap(err, ErrCaller)
@@ -186,6 +193,17 @@
 	return nil
 }
 
+// extendWriteDeadline sets the deadline anew when a tenth of the timeout has
+// passed, because each setting costs about as much as the check of an event.
+func (s *Stream) extendWriteDeadline() {
+	now := time.Now()
+	if now.Sub(s.deadlineSet) < s.WriteTimeout/deadlineSteps {
+		return
+	}
+	s.deadlineSet = now
+	_ = s.rc.SetWriteDeadline(now.Add(s.WriteTimeout))
+}
+
 func (s *Stream) flush() error {
 	if !s.pending {
 		return nil
@@ -207,6 +225,16 @@
 	_ = s.rc.Flush()
 }
 
+// extendStall restarts the stall timer, at most once in a tenth of the timeout.
+func (s *Stream) extendStall() {
+	now := time.Now()
+	if now.Sub(s.timerSet) < s.Stall/deadlineSteps {
+		return
+	}
+	s.timerSet = now
+	s.timer.Reset(s.Stall)
+}
+
 // flushingReader flushes what was written before each read that can block.
 type flushingReader struct {
 	stream *Stream
@@ -219,7 +247,7 @@
 	}
 	n, err := r.body.Read(p)
 	if n > 0 {
-		r.stream.timer.Reset(r.stream.Stall)
+		r.stream.extendStall()
 	}
 	return n, err
 }
