Separate fixed time from prefill speed

Cause: a fixed time to the first token was taken for a low speed, and the dispatcher then held back work that fitted. Change: fixed time and speed are fitted by least squares per backend server; the stated speed stands until prompts of different lengths contradict it. The table deadline changes by the 50 ms of fixed time that an estimate now contains.

--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -110,7 +110,7 @@
 	b.boot = boot
 	b.budget.Boot(boot)
 	b.cache = prefixCache{}
-	b.measured, b.speed = false, 0
+	b.meter, b.speed, b.base = speedometer{}, 0, 0
 	b.reportAt, b.reportSure, b.reported, b.foreignStale = 0, 0, nil, true
 	clear(b.linger)
 	// A waiting period goes on: permits of the previous owner do not name the boot.
@@ -150,8 +150,8 @@
 		}
 	}
 	b.budget.Reported(a.Load.Cold)
-	if !b.measured && a.Load.PrefillTokensPerSecond > 0 {
-		b.speed = a.Load.PrefillTokensPerSecond
+	if a.Load.PrefillTokensPerSecond > 0 {
+		b.stated = a.Load.PrefillTokensPerSecond
 	}
 }
 
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -11,11 +11,9 @@
 	// remainingFloor is the least share of a prompt that counts as not yet
 	// prefilled until its first token arrives, however long ago it was granted.
 	remainingFloor = 0.1
-	// firstTokenBase is the time to a first token beyond the prefill itself.
+	// firstTokenBase is the time to a first token beyond the prefill itself, until
+	// it has been measured.
 	firstTokenBase = 50 * time.Millisecond
-	// minSpeedSample is the least work that measures the prefill speed, in tokens;
-	// with less, fixed times dominate.
-	minSpeedSample = 500
 	// initialHold is assumed for the time from grant to end until one is measured.
 	initialHold = 2 * time.Second
 	// freshReport is the age up to which a load report costs no penalty.
@@ -59,17 +57,6 @@
 	return time.Duration(min(t.output, float64(d.req.MaxOutputTokens)) * float64(t.perToken))
 }
 
-// speedOf returns the prefill speed of a backend server, in tokens/s.
-func (c *Core) speedOf(b *backend) float64 {
-	if b.speed > 0 {
-		return b.speed
-	}
-	if hint := c.service(b.pool).PrefillTokensPerSecond; hint > 0 {
-		return hint
-	}
-	return defaultPrefillSpeed
-}
-
 func (d *dispatch) memberOf(b *backend) *member {
 	for i := range d.members {
 		if d.members[i].backend == b {
@@ -149,7 +136,7 @@
 		memoryFree = memoryFree || b.plain() || c.freeMemory(b) >= d.tokens()
 		ahead := c.workAhead(b)
 		backlog = min(backlog, seconds(max(0, ahead/c.speedOf(b)-maxBacklog.Seconds())))
-		prefill = min(prefill, seconds(b.prefillOf(d)/c.speedOf(b)))
+		prefill = min(prefill, c.baseOf(b)+seconds(b.prefillOf(d)/c.speedOf(b)))
 	}
 	if !ok {
 		return f, false
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -10,13 +10,9 @@
 // count as within the target, for prompts whose prefill alone exceeds the target.
 const withinFactor = 2
 
-// speedStep bounds the change of the measured speed by one sample, because the
-// estimate of the work ahead may be wrong.
-const speedStep = 2
-
-// speedWeight is the prefill work, in tokens, whose measurement counts as much as
-// the speed known before.
-const speedWeight = 20000
+// maxSample bounds the time of one sample for the speed, as a multiple of the
+// estimate.
+const maxSample = 4
 
 // firstToken takes the measured time to the first token.
 func (c *Core) firstToken(d *dispatch, took time.Duration) {
@@ -37,9 +33,8 @@
 	if b.boot != d.members[0].boot {
 		return
 	}
-	if slow := b.budget.FirstToken(took, d.estimate); !slow {
-		c.measureSpeed(b, d, took)
-	}
+	b.budget.FirstToken(took, d.estimate)
+	c.measureSpeed(b, d, took)
 }
 
 // sinceGrant bounds a reported duration by the time since the grant, so that time
@@ -48,17 +43,6 @@
 	return min(elapsed, c.now-d.grantedAt)
 }
 
-func (c *Core) measureSpeed(b *backend, d *dispatch, took time.Duration) {
-	if took <= 0 || d.workAhead < minSpeedSample {
-		return
-	}
-	old := c.speedOf(b)
-	sample := min(max(d.workAhead/took.Seconds(), old/speedStep), old*speedStep)
-	// Long prefills measure better, because fixed times matter less.
-	b.speed = old + (sample-old)*d.workAhead/(d.workAhead+speedWeight)
-	b.measured = true
-}
-
 // done takes a complete response.
 func (c *Core) done(d *dispatch, m *wirepb.Progress) {
 	took := c.sinceGrant(d, time.Duration(m.ElapsedMs)*time.Millisecond)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -145,6 +145,7 @@
 	if age := c.reportAge(b); age > freshReport {
 		cost += stalePenalty * (age - freshReport).Seconds()
 	}
+	cost += c.baseOf(b).Seconds()
 	if b.plain() {
 		return cost
 	}
@@ -273,7 +274,7 @@
 // estimateFirst estimates the time to the first token of a grant. The members of
 // a group prefill their parts one after the other.
 func (c *Core) estimateFirst(members []member) time.Duration {
-	t := firstTokenBase
+	t := c.baseOf(members[0].backend)
 	for _, m := range members {
 		t += seconds((c.workAhead(m.backend) + m.prefill) / c.speedOf(m.backend))
 	}
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -64,8 +64,10 @@
 	reserved   uint64
 	open       map[string]*dispatch
 	cache      prefixCache
-	speed      float64 // prefill speed, in tokens/s; zero if unknown
-	measured   bool
+	meter      speedometer
+	speed      float64       // measured prefill speed, in tokens/s; zero if unknown
+	base       time.Duration // measured fixed time to a first token
+	stated     float64       // prefill speed by the load report, in tokens/s
 	// pending lists the dispatches without a first token in order of their grants.
 	pending []*dispatch
 	// linger holds requests that ended here but may still run, until a report
