Let an idle replica use less of a core

Cause: an idle replica of three on loopback used 18 to 25 CPU ticks of 10 ms in 20 s, which is 0.9 to 1.3% of a core on a shared machine and up to 1.6% under load; the target is 1.5%.

Change: heartbeats every 150 ms instead of 100 ms, ticks every 50 ms instead of 20 ms. Three heartbeat rounds still fit into a lease, and a stalled loop ends the confirmation after 250 ms instead of 200 ms.

--- a/internal/stateserver/server.go
+++ b/internal/stateserver/server.go
@@ -52,14 +52,15 @@
 
 // Timing of the consensus core. An election starts one to two election
 // timeouts after the last contact, so that a lost leader is replaced within
-// about a second. A heartbeat every fifth of it tolerates a lost one.
+// about a second. Three heartbeat rounds fit into a lease. Shorter intervals
+// bring an idle replica above the target of 1.5% of a core.
 const (
 	electionTimeout   = 500 * time.Millisecond
-	heartbeatInterval = 100 * time.Millisecond
+	heartbeatInterval = 150 * time.Millisecond
 	// maxClockDrift is 2% of two election timeouts, far above what clocks of
 	// VMs show.
 	maxClockDrift = 20 * time.Millisecond
-	tickInterval  = 20 * time.Millisecond
+	tickInterval  = 50 * time.Millisecond
 	// leaseDuration is how long the contact with a leader proves its lease.
 	leaseDuration = electionTimeout - maxClockDrift
 )
--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -22,7 +22,7 @@
 	confirmationLifetime = 2 * configHeartbeatInterval
 	// leadershipLifetime is how long the loop's last look at the lease counts.
 	// A loop that stalls for longer makes the replica not fresh.
-	leadershipLifetime = 10 * tickInterval
+	leadershipLifetime = 5 * tickInterval
 )
 
 // publication is a configuration that subscribers may read.
