Refuse the queue of a pool that has another dispatcher

Cause: a dispatcher that hands its backend servers over, or whose leases lapse for good, kept its queue. The requests waited there until their deadline (20 s in the trace: entry-d1-2 takes over from a paused entry-d1-1, grants for 250 ms, hands the engines back after the resume and holds 16 queued requests until deadline_exceeded, run no).

Change: the queue is refused with no_capacity, run no, when the last lease of the pool is handed over, and when no lease has been held for 2 s, the time in which backend servers find a dispatcher. The entry process then asks the next pool. testdata/abandon covers both and fails without the mechanism.

Conclusion: requests no longer wait at a dispatcher without a pool. A request that waits at a paused dispatcher still waits for its resume.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -97,7 +97,7 @@
 type mechanisms struct {
 	waitingPeriod, leaseCheck, exclusionCheck, expiry, coldBudget  bool
 	aging, fairShare, confinement, suspicion, proving, hold, allOr bool
-	ownWork, gapCheck, foreignOpen, stall                          bool
+	ownWork, gapCheck, foreignOpen, stall, abandon                 bool
 }
 
 // New returns a core without backend servers. It refuses all work until SetView.
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"bilberryhub/internal/announce"
+	"bilberryhub/internal/refusal"
 )
 
 // Owns tells whether this process holds the lease of a backend server.
@@ -39,7 +41,26 @@
 	p := c.pools[poolKey{a.FailureDomain, a.Service}]
 	if b := p.backends[a.ID]; b != nil && !reply.Released && c.released(b) {
 		b.lease = 0
+		if !c.owns(p) {
+			c.abandonQueue(p)
+		}
 		return c.reply(0, true)
 	}
 	return reply
 }
+
+// owns tells whether this process holds the lease of a backend server of a pool.
+func (c *Core) owns(p *pool) bool {
+	return slices.ContainsFunc(p.order, func(b *backend) bool { return c.now < b.lease })
+}
+
+// abandonQueue refuses the queued requests of a pool that has another dispatcher,
+// so that they can be sent there. Here they would wait until their deadline.
+func (c *Core) abandonQueue(p *pool) {
+	if c.off.abandon {
+		return
+	}
+	for _, d := range p.queue.all() {
+		c.refuse(d, refusal.New(refusal.NoCapacity, "the backend servers have left this dispatcher").After(noBackendRetry))
+	}
+}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -10,7 +10,7 @@
 )
 
 // seeds is the number of randomised runs per test.
-const seeds = 8
+const seeds = 12
 
 // traffic sends requests at random entry processes until the given time.
 func (w *world) traffic(every, until time.Duration) {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -134,6 +134,7 @@
 // account with the most queued work gives way, so that a burst of one account
 // cannot shut out the others.
 func (c *Core) enqueue(p *pool, d *dispatch) {
+	p.ownedAt = c.now
 	p.queue.push(d, c.now)
 	c.drainQueue(p)
 	if p.queue.size <= c.cfg.MaxQueue {
@@ -155,6 +156,12 @@
 	if p.queue.size == 0 {
 		return
 	}
+	// Leases that lapse for a moment, as after a short pause, come back sooner.
+	if c.owns(p) {
+		p.ownedAt = c.now
+	} else if c.now >= p.ownedAt+noBackendRetry {
+		c.abandonQueue(p)
+	}
 	serve, why := c.mayServe(p.key.domain)
 	for _, d := range p.queue.all() {
 		left, quarantined := c.quarantined(d)
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -133,6 +133,18 @@
 	return s.core(b.core).Announce(s.now, &a)
 }
 
+// handOver announces a backend server to a core that should no longer own it.
+func (s *script) handOver(id string) string {
+	b := s.backends[id]
+	b.a.Sequence++
+	a := b.a
+	if s.core(b.core).HandOver(s.now, &a).Released {
+		b.silent = true
+		return "released\n"
+	}
+	return ""
+}
+
 func (s *script) backend(d *datadriven.TestData) string {
 	id := d.CmdArgs[0].Key
 	b := s.backends[id]
@@ -300,6 +312,8 @@
 		for _, c := range s.cores {
 			c.Suspect(s.now, m)
 		}
+	case "handover":
+		out = s.handOver(d.CmdArgs[0].Key)
 	case "release":
 		s.core("e0").ReleasePools(s.now)
 	case "freeze":
@@ -342,7 +356,7 @@
 		"expiry": {expiry: true}, "cold": {coldBudget: true}, "aging": {aging: true}, "fairshare": {fairShare: true},
 		"confinement": {confinement: true}, "suspicion": {suspicion: true}, "proving": {proving: true},
 		"hold": {hold: true}, "group": {allOr: true}, "ownwork": {ownWork: true}, "cache": {gapCheck: true},
-		"foreign": {foreignOpen: true}, "pause": {stall: true},
+		"foreign": {foreignOpen: true}, "pause": {stall: true}, "abandon": {abandon: true},
 	} {
 		t.Run(file, func(t *testing.T) {
 			violations(t)
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -24,6 +24,8 @@
 
 // pool is a service in a failure domain.
 type pool struct {
+	// ownedAt is when this process last held a lease of the pool.
+	ownedAt  time.Duration
 	key      poolKey
 	backends map[string]*backend
 	// order lists the backend servers by id.
