--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -27,6 +27,7 @@
 // Guards against faults that only real processes show: a process that is paused
 // by its host, killed without notice, or has lost its disk.
 func TestProcessFaults(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name   string
 		layout layout
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -154,6 +154,13 @@
 	}
 }
 
+// run returns the number of the current run.
+func (p *process) run() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started
+}
+
 var ports = struct {
 	sync.Mutex
 	used map[int]bool
--- a/internal/soak/setup_test.go
+++ b/internal/soak/setup_test.go
@@ -360,6 +360,8 @@
 	text   string
 	output int
 	whole  bool
+	// leave is when the caller gives up; zero means never.
+	leave time.Duration
 }
 
 // requestLimit is how long any request may take as the caller sees it: its
@@ -375,7 +377,13 @@
 	if p.output == 0 {
 		p.output = 4
 	}
-	r := e.client.Do(ctx, &loadtool.Call{Key: callerKey, Model: modelName, Prompt: p.text, Tokens: p.output, Chat: true, Stream: !p.whole})
+	call := ctx
+	if p.leave > 0 {
+		var leave context.CancelFunc
+		call, leave = context.WithTimeout(ctx, p.leave)
+		defer leave()
+	}
+	r := e.client.Do(call, &loadtool.Call{Key: callerKey, Model: modelName, Prompt: p.text, Tokens: p.output, Chat: true, Stream: !p.whole})
 	if ctx.Err() != nil {
 		s.t.Errorf("a request to %s has not ended within %v", e.name, requestLimit)
 	}
