Send the list of known processes only where it differs

Change: a heartbeat states a digest of the live processes. The list is left out for a receiver that has stated the same digest; a process that states none, or another one, gets the list as before. The field is new, so older processes always send and receive the list.

--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -45,10 +46,9 @@
 }
 
 func (s *Server) heartbeatRound(round int) {
-	var self *wirepb.PeerHeartbeat
 	addresses := map[string]bool{}
+	var messages map[string]*wirepb.PeerHeartbeat
 	err := s.loop.do(s.ctx, func(c *control) {
-		self = c.heartbeat()
 		for _, address := range s.settings.Entries {
 			addresses[address] = true
 		}
@@ -56,13 +56,14 @@
 			addresses[p.Address] = true
 		}
 		delete(addresses, c.server.wire.Address())
+		messages = c.heartbeats(slices.Collect(maps.Keys(addresses)))
 		c.ownSummaries()
 	})
 	if err != nil {
 		return
 	}
 	s.clients.keep(addresses)
-	for address := range addresses {
+	for address, self := range messages {
 		s.wg.Go(func() { s.exchange(address, self, round) })
 	}
 }
@@ -123,12 +124,12 @@
 	}
 }
 
-// heartbeat returns what this process tells its peers.
-func (c *control) heartbeat() *wirepb.PeerHeartbeat {
+// heartbeats returns what this process tells the peers at the addresses.
+func (c *control) heartbeats(addresses []string) map[string]*wirepb.PeerHeartbeat {
 	if v := c.server.sync.Current(); v != nil {
 		c.peers.SetConfig(v.Index, v.Digest)
 	}
-	return c.peers.Message()
+	return c.peers.Messages(addresses)
 }
 
 // ownSummaries puts the pools dispatched here into the table of summaries.
@@ -178,7 +179,8 @@
 	var sums []*wirepb.PoolSummary
 	err := s.loop.do(ctx, func(c *control) {
 		c.heard(hb)
-		self = c.heartbeat()
+		address := hb.GetSelf().GetAddress()
+		self = c.heartbeats([]string{address})[address]
 		sums = c.ownSummaries()
 	})
 	if err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -10,11 +10,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"bilberryhub/internal/wirepb"
 )
@@ -51,6 +53,8 @@
 	peer Peer
 	seen time.Duration
 	live bool
+	// knownDigest is that of the live processes of this one.
+	knownDigest uint64
 }
 
 // Table holds the entry processes by id.
@@ -101,7 +105,7 @@
 	case p.Incarnation > r.peer.Incarnation && r.live:
 		lost = []Lost{{r.peer.ID, r.peer.Incarnation}}
 	}
-	r.peer, r.seen, r.live = p, now, true
+	r.peer, r.seen, r.live, r.knownDigest = p, now, true, m.KnownDigest
 	return lost
 }
 
@@ -149,15 +153,49 @@
 	return Peer{}, false
 }
 
-// Message returns the heartbeat of the process itself.
-func (t *Table) Message() *wirepb.PeerHeartbeat {
-	m := &wirepb.PeerHeartbeat{Self: t.self.info(), ConfigIndex: t.self.ConfigIndex, ConfigDigest: t.self.ConfigDigest}
-	for _, p := range t.Live() {
+// Messages returns the heartbeats of the process itself by the address of the
+// receiver. The list of live processes is left out for one that has the same:
+// the list grows with the number of processes, and so the lists of all
+// exchanges with its cube.
+func (t *Table) Messages(addresses []string) map[string]*wirepb.PeerHeartbeat {
+	live := t.Live()
+	brief := &wirepb.PeerHeartbeat{
+		Self: t.self.info(), ConfigIndex: t.self.ConfigIndex, ConfigDigest: t.self.ConfigDigest, KnownDigest: digest(live),
+	}
+	full := proto.CloneOf(brief)
+	for _, p := range live {
 		if p.ID != t.self.ID {
-			m.Known = append(m.Known, p.info())
+			full.Known = append(full.Known, p.info())
+		}
+	}
+	same := map[string]bool{}
+	for _, r := range t.rows {
+		if r.live && r.knownDigest == brief.KnownDigest {
+			same[r.peer.Address] = true
+		}
+	}
+	out := map[string]*wirepb.PeerHeartbeat{}
+	for _, address := range addresses {
+		out[address] = full
+		if same[address] {
+			out[address] = brief
+		}
+	}
+	return out
+}
+
+// digest identifies a list of processes in order of their ids. Whether one is
+// draining counts only when heard from itself, and is left out.
+func digest(list []Peer) uint64 {
+	h := xxhash.New()
+	for _, p := range list {
+		for _, s := range []string{p.ID, p.Address, p.HTTPAddress, p.FailureDomain} {
+			_, _ = h.WriteString(s)
+			_, _ = h.Write([]byte{0})
 		}
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, p.Incarnation))
 	}
-	return m
+	return h.Sum64()
 }
 
 // Unheard returns processes that others know and that send no heartbeat here.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -79,3 +79,66 @@
 		}
 	}
 }
+
+func message(t *Table, address string) *wirepb.PeerHeartbeat {
+	return t.Messages([]string{address})[address]
+}
+
+// Guards against lists of known processes in each heartbeat, which grow with the
+// cube of the number of processes, and against a process that is not found
+// because a list was left out.
+func TestKnownListOnlyWhenItDiffers(t *testing.T) {
+	tables := map[string]*Table{}
+	join := func(id string) {
+		tables[id] = New(Peer{ID: id, Address: "at-" + id, FailureDomain: "x", Incarnation: 1})
+	}
+	// exchange carries a heartbeat and its answer, and returns the entries sent.
+	exchange := func(from, to string) int {
+		m := message(tables[from], "at-"+to)
+		tables[to].Heartbeat(0, m)
+		answer := message(tables[to], "at-"+from)
+		tables[from].Heartbeat(0, answer)
+		return len(m.Known) + len(answer.Known)
+	}
+	// round lets each process talk to those that it knows or was told of.
+	round := func() (entries int) {
+		for from, table := range tables {
+			for _, p := range append(table.Live(), table.Unheard()...) {
+				if p.ID != from {
+					entries += exchange(from, p.ID)
+				}
+			}
+		}
+		return entries
+	}
+	settle := func(n int) {
+		for range 5 {
+			round()
+		}
+		for id, table := range tables {
+			if got := len(table.Live()); got != n {
+				t.Fatalf("%s knows %d of %d processes", id, got, n)
+			}
+		}
+		if entries := round(); entries > 0 {
+			t.Fatalf("%d entries sent among %d processes that know the same", entries, n)
+		}
+	}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		join(id)
+	}
+	exchange("b", "a")
+	exchange("c", "a")
+	exchange("d", "c")
+	settle(4)
+	// A process that joins through one of them is found by all.
+	join("e")
+	exchange("e", "d")
+	settle(5)
+	// A process that states no digest gets the list with each heartbeat.
+	m := message(tables["a"], "at-b")
+	tables["b"].Heartbeat(0, &wirepb.PeerHeartbeat{Self: m.Self})
+	if got := len(message(tables["b"], "at-a").Known); got != 4 {
+		t.Fatalf("%d entries for a process without digest, want 4", got)
+	}
+}
--- a/internal/stateserver/capacity_test.go
+++ b/internal/stateserver/capacity_test.go
@@ -182,6 +182,8 @@
 	for _, count := range []int{0, 9, 30, 100} {
 		b.Run(fmt.Sprintf("subscribers=%d", count), func(b *testing.B) {
 			c := newCluster(b, 3)
+			var between atomic.Int64
+			c.wrap = func(conn net.Conn) net.Conn { return countedConn{conn, &between, &between} }
 			c.startAll()
 			client := c.client(c.leader())
 			s := startSubscribers(b, c, count)
@@ -192,12 +194,14 @@
 			for range b.N {
 				var before, after syscall.Rusage
 				_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+				raft := between.Load()
 				read, written, start := s.read.Load(), s.written.Load(), time.Now()
 				time.Sleep(measured)
 				seconds := time.Since(start).Seconds()
 				_ = syscall.Getrusage(syscall.RUSAGE_SELF, &after)
 				used := time.Duration(after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano())
 				b.ReportMetric(100*used.Seconds()/seconds, "cpu-%-all")
+				b.ReportMetric(float64(between.Load()-raft)/seconds/3, "replica-sent-B/s")
 				if count > 0 {
 					b.ReportMetric(float64(s.written.Load()-written)/seconds/float64(count), "entry-sent-B/s")
 					b.ReportMetric(float64(s.read.Load()-read)/seconds/float64(count), "entry-received-B/s")
--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -33,6 +33,8 @@
 	mu    sync.Mutex
 	cut   map[string]bool // "from>to"
 	conns map[string][]net.Conn
+	// wrap, when set, replaces each connection between replicas.
+	wrap func(net.Conn) net.Conn
 }
 
 func newCluster(t testing.TB, size int) *cluster {
@@ -123,6 +125,9 @@
 			return nil, &net.OpError{Op: "dial", Net: network, Err: errors.New("link is cut")}
 		}
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil && c.wrap != nil {
+			conn = c.wrap(conn)
+		}
 		if err == nil {
 			c.mu.Lock()
 			c.conns[link] = append(c.conns[link], conn)
