--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -33,6 +33,9 @@
 	times times
 	// next is the position of the round robin policy.
 	next int
+
+	sizes      map[string]sizes
+	sizesEvent uint64
 }
 
 // backend is one backend server.
@@ -71,6 +74,7 @@
 	// foreign caches the count of requests that other owners started.
 	foreign      int
 	foreignStale bool
+	memo         memo
 }
 
 type dispatchState int
@@ -130,6 +134,9 @@
 	finished bool
 	// expired holds a dispatch whose permit ran out, for a late start report.
 	expired *dispatch
+	// interrupted holds a started dispatch whose end was not reported as done;
+	// its caller may come back for the rest of the stream.
+	interrupted *dispatch
 }
 
 func (d *dispatch) tokens() uint64 { return d.req.PromptTokens + d.req.MaxOutputTokens }
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -43,6 +43,7 @@
 	// leaderContact is the last message of a leader since the start.
 	leaderContact    time.Duration
 	leaderHeard      bool
+	leaderCommit     uint64
 	electionDeadline time.Duration
 
 	// campaign numbers the elections that the replica started, votes holds the
@@ -54,6 +55,9 @@
 
 	leading
 
+	// toldRetired is set once a peer reported that this identity is retired.
+	toldRetired bool
+
 	durableTerm  uint64
 	durableVote  string
 	lastReady    *wirepb.HardState
@@ -83,7 +87,8 @@
 // disabled switches off single mechanisms. Only tests set it, to show that a
 // proof fails without the mechanism that it covers.
 type disabled struct {
-	preVote, checkQuorum, stickiness, learnerSync, persistBeforeCount, retired, leaseAfterCommit, quietStart, stallGuard bool
+	preVote, checkQuorum, stickiness, learnerSync, persistBeforeCount, retired bool
+	leaseAfterCommit, changeAfterCommit, quietStart, stallGuard                bool
 }
 
 // New returns a replica that starts from durable state. Damaged state is
@@ -165,11 +170,12 @@
 }
 
 // Step handles a message of a peer. Malformed messages, and messages of
-// retired replicas, are counted and dropped.
+// retired replicas, are counted and dropped. The core keeps parts of the message.
 func (n *Node) Step(m *wirepb.RaftMessage, now time.Duration) {
 	n.observe(now)
 	if reason := n.refuse(m); reason != "" {
 		n.rejected[reason]++
+		n.answerRetired(m)
 		return
 	}
 	switch m.Kind {
@@ -198,6 +204,7 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.heardLeader(m.From)
+	n.leaderCommit = max(n.leaderCommit, m.Commit)
 	switch m.Kind {
 	case wirepb.RaftMessage_KIND_APPEND:
 		n.handleAppend(m)
--- a/internal/raft/validate.go
+++ b/internal/raft/validate.go
@@ -43,8 +43,11 @@
 		if n.role == Leader && m.Term == n.term && (m.Round > n.round || m.LogIndex > n.log.last()) {
 			return "answer to nothing sent"
 		}
-	case wirepb.RaftMessage_KIND_PRE_VOTE, wirepb.RaftMessage_KIND_PRE_VOTE_REPLY, wirepb.RaftMessage_KIND_VOTE,
-		wirepb.RaftMessage_KIND_VOTE_REPLY, wirepb.RaftMessage_KIND_TIMEOUT_NOW:
+	case wirepb.RaftMessage_KIND_PRE_VOTE_REPLY:
+		if m.Snapshot != nil && checkSnapshot(m.Snapshot, m.Term) != nil {
+			return "invalid snapshot"
+		}
+	case wirepb.RaftMessage_KIND_PRE_VOTE, wirepb.RaftMessage_KIND_VOTE, wirepb.RaftMessage_KIND_VOTE_REPLY, wirepb.RaftMessage_KIND_TIMEOUT_NOW:
 	default:
 		return "unknown kind"
 	}
@@ -52,11 +55,11 @@
 }
 
 // checkEntries checks that entries follow the entry (index, term) without a
-// gap, with terms that never decrease and don't exceed maxTerm.
-func checkEntries(entries []*wirepb.LogEntry, index, term, maxTerm uint64) error {
+// gap, with terms that never decrease and don't exceed the term limit.
+func checkEntries(entries []*wirepb.LogEntry, index, term, limit uint64) error {
 	for _, e := range entries {
 		index++
-		if e.GetIndex() != index || e.Term < max(term, 1) || e.Term > maxTerm {
+		if e.GetIndex() != index || e.Term < max(term, 1) || e.Term > limit {
 			return errors.NotValidf("entry %d of term %d at index %d after term %d", e.GetIndex(), e.GetTerm(), index, term)
 		}
 		term = e.Term
--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -28,6 +28,7 @@
 	dir      string
 	replicas []ReplicaConfig
 	entries  uint64
+	timeout  time.Duration
 	servers  map[string]*Server
 
 	mu    sync.Mutex
@@ -74,7 +75,7 @@
 	}
 	r, _ := set.replica(name)
 	set.Listen, set.FailureDomain = r.Address, r.FailureDomain
-	s, err := Start(set, Options{Dial: c.dialer(name)}, c.logger(name))
+	s, err := Start(set, Options{Dial: c.dialer(name), ProposeTimeout: c.timeout}, c.logger(name))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -214,9 +215,12 @@
 	defer cancel()
 	env, err := client.Call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Propose{Propose: &wirepb.Propose{Command: cmd}}})
 	var remote *wire.RemoteError
+	var op *net.OpError
 	switch {
 	case errors.As(err, &remote):
 		return nil, remote.Code
+	case errors.As(err, &op) && op.Op == "dial":
+		return nil, codeNoLeader
 	case err != nil:
 		return nil, codeOutcomeUnknown
 	}
--- a/internal/stateserver/server_test.go
+++ b/internal/stateserver/server_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"bilberryhub/internal/statemachine"
 	"bilberryhub/internal/wirepb"
@@ -152,6 +153,18 @@
 	}
 }
 
+// TestReplacedProposal guards against a proposal that gets the result of another
+// leader's entry at its index.
+func TestReplacedProposal(t *testing.T) {
+	answers := make(chan outcome, 1)
+	s := &Server{metrics: newServerMetrics("state-a"), opts: Options{Now: func() time.Duration { return 0 }}}
+	l := &loop{s: s, waiters: map[uint64]waiter{5: {term: 2, reply: answers}}}
+	l.answerWaiter(&wirepb.LogEntry{Index: 5, Term: 3}, &wirepb.Result{Index: 5})
+	if o := <-answers; o.code != codeNoLeader || o.result != nil {
+		t.Fatalf("a proposal of term 2 got %+v from an entry of term 3", o)
+	}
+}
+
 // TestRacingOperators guards against two manifests with one number in force.
 func TestRacingOperators(t *testing.T) {
 	c := newCluster(t, 3)
@@ -191,16 +204,27 @@
 	for round := range uint64(3) {
 		leader := c.leader()
 		client := c.client(c.others(leader)[0])
+		old := c.status(leader).Raft.Term
 		stopped := make(chan error, 1)
-		go func() { stopped <- c.servers[leader].Stop() }()
+		handedOver := false
+		go func() {
+			err := c.servers[leader].Stop()
+			// Without a handover, the others have not noticed the stop yet.
+			for _, name := range c.others(leader) {
+				if v, err := c.servers[name].dump(); err == nil && v.(serverDump).Raft.Term > old {
+					handedOver = true
+				}
+			}
+			stopped <- err
+		}()
 		for n := range uint64(50) {
 			id := fmt.Sprintf("order-%d-%d", round, n)
 			if _, code := propose(client, order(id, round*50+n+1, n%2 == 0)); code != "" {
 				t.Fatalf("proposal %s failed with %q", id, code)
 			}
 		}
-		if err := <-stopped; err != nil {
-			t.Fatal(err)
+		if err := <-stopped; err != nil || !handedOver {
+			t.Fatalf("stop of leader %s: error %v, handed over: %v", leader, err, handedOver)
 		}
 		c.start(leader)
 	}
