--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -133,11 +133,18 @@
   join "${list[@]}"
 }
 
-# measure RUN SALT FIELDS ACTIONS sends the workload and writes POLICY-RUN.json.
-measure() {
+# send RUN SALT FIELDS ACTIONS sends the workload and writes POLICY-RUN.json.
+send() {
   load "$1" "\"mode\": \"workload\", \"time_scale\": $TIME_SCALE, \"json\": \"$OUT/$POLICY-$1.json\", \"keep_results\": true, \"stats\": [$(stats)], \"actions\": [$4],
  \"workload\": {\"seed\": $SEED, \"salt\": $2, \"duration_seconds\": $DURATION, \"requests_per_second\": $RATE, \"accounts\": $ACCOUNTS, \"burst_requests\": 40, \"burst_every_seconds\": 60, \"max_tokens\": $MAX_TOKENS $3}"
-  echo "$POLICY $1: $(grep outcomes "$DIR/$1.txt")"
+}
+
+# measure takes the arguments of send. A run in which the machine was too busy to
+# send in time is marked and not hidden.
+measure() {
+  local note=
+  send "$@" || note=" NOT VALID: $(tail -n 1 "$DIR/$1.txt")"
+  echo "$POLICY $1: $(grep outcomes "$DIR/$1.txt")$note"
 }
 
 run_policies() {
