Refuse grants for an earlier boot, and count unanswered announcements as ownership

Cause: two cases in which two dispatchers could load one cold backend server: a grant for the boot before, and an announcement that was accepted although its answer was lost. Change: dispatches name the boot, and a backend server under another one does not run them; announcements name the receiver of an unanswered call as previous owner; a crash during a suspected run is attributed to it alone.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -12,6 +12,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,6 +21,15 @@
 // Path is where backend servers post their announcements.
 const Path = "/v1/backend-servers/announce"
 
+// BootHeader names the boot that a request was granted for. A backend server
+// that runs under another boot number answers StatusWrongBoot and does not run
+// the request: a grant for the boot before must not add to the load of a cold
+// start. Backend servers that do not know the header run the request.
+const (
+	BootHeader      = "X-Backend-Boot"
+	StatusWrongBoot = http.StatusMisdirectedRequest
+)
+
 const (
 	// Interval between two announcements of one backend server.
 	Interval = 500 * time.Millisecond
@@ -62,8 +72,9 @@
 	Leaving           bool   `json:"leaving,omitempty"`
 	// Sequence grows with each announcement of one boot.
 	Sequence uint64 `json:"sequence"`
-	// PreviousOwner is the dispatcher that last answered 200, if it was
-	// another one than the receiver.
+	// PreviousOwner is the dispatcher that last answered 200, or the address
+	// of a call made since that was not answered, because its receiver may have
+	// accepted it; empty if that was the receiver.
 	PreviousOwner string `json:"previous_owner,omitempty"`
 	// PreviousReleased is set when that dispatcher gave up its lease.
 	PreviousReleased bool `json:"previous_released,omitempty"`
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/announce"
 	"bilberryhub/internal/backend"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
@@ -127,7 +128,7 @@
 		// The crash must be known everywhere before the caller can send the
 		// request again.
 		res.confirm()
-		s.broadcastCrash(r, a.member)
+		s.broadcastCrash(r, a.member, res.grant.GetSuspected())
 	}
 	countOutcome(out.step)
 	return out
@@ -157,7 +158,7 @@
 	}
 	resp, err := a.server.backends.Do(ctx, &backend.Request{
 		Backend: a.member.GetBackend(), Address: a.member.GetAddress(), ID: a.id,
-		Method: a.req.method, Path: a.req.path, Header: forwardedHeader(a.req), Body: body,
+		Method: a.req.method, Path: a.req.path, Header: a.header(), Body: body,
 		Idempotent: a.req.idempotent, BeforeSend: a.beforeSend,
 	})
 	if err != nil {
@@ -189,6 +190,13 @@
 	return body, errors.Annotate(err, "encode request for the engine")
 }
 
+// header returns the headers of the dispatch.
+func (a *attempt) header() http.Header {
+	h := forwardedHeader(a.req)
+	h.Set(announce.BootHeader, strconv.FormatUint(a.member.GetBoot(), 10))
+	return h
+}
+
 // forwardedHeader returns the caller's headers without those that belong to
 // one connection or to this system.
 func forwardedHeader(r *request) http.Header {
@@ -245,8 +253,15 @@
 }
 
 // checkStatus refuses answers of an engine that turned the request away.
-// Answers of plain services are passed on whatever their status.
+// Answers of plain services are passed on whatever their status, but for the
+// one that says that the request was granted for another boot and not run.
 func (a *attempt) checkStatus(resp *http.Response) outcome {
+	if resp.StatusCode == announce.StatusWrongBoot {
+		return outcome{
+			step: wirepb.Progress_STEP_REFUSED, excluded: a.member.GetBackend(),
+			err: refusal.New(refusal.BackendFailed, "backend server has restarted since the grant"),
+		}
+	}
 	if a.req.model == nil {
 		return outcome{}
 	}
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -210,9 +210,11 @@
 }
 
 // broadcastCrash tells all entry processes that a backend server crashed while
-// it ran r, and waits until those that can be reached know.
-func (s *Server) broadcastCrash(r *request, m *wirepb.GrantMember) {
-	s.broadcast(&wirepb.Suspect{Fingerprint: r.fingerprint[:], Backend: m.GetBackend(), Boot: m.GetBoot()})
+// it ran r, and waits until those that can be reached know. A request that was
+// already suspected at its start was the only suspect there, and is blamed
+// alone.
+func (s *Server) broadcastCrash(r *request, m *wirepb.GrantMember, sole bool) {
+	s.broadcast(&wirepb.Suspect{Fingerprint: r.fingerprint[:], Backend: m.GetBackend(), Boot: m.GetBoot(), Sole: sole})
 }
 
 func (s *Server) broadcast(m *wirepb.Suspect) {
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"bilberryhub/internal/announce"
@@ -191,6 +192,10 @@
 	}
 	resp, err := a.client.Do(req.WithContext(ctx))
 	if err != nil {
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			// The receiver may have taken the announcement and own this server.
+			a.owner, a.ownerAt, a.released = to, to, false
+		}
 		return 0, "", errors.Annotatef(err, "announce to %s", to)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/standin/instance.go
+++ b/internal/standin/instance.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -155,6 +156,10 @@
 			return
 		}
 		defer in.background.Done()
+		if want := r.Header.Get(announce.BootHeader); want != "" && want != strconv.FormatUint(b.number, 10) {
+			writeError(w, announce.StatusWrongBoot, "wrong_boot", "this backend server runs under another boot number")
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
