Count the deadline check from the end of a pause

Change: the grace of the check counts from the deadline or from the end of the last pause, whichever is later. A request that is still there after that is reported as before.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -38,6 +38,8 @@
 	waiters  map[string]chan<- *wirepb.Envelope
 	lastTick time.Time
 	frozen   uint64
+	// resumed is when the last pause of the process ended.
+	resumed time.Time
 }
 
 // loop runs events on the control goroutine.
@@ -109,6 +111,7 @@
 	}
 	c.frozen++
 	c.lastTick = time.Now()
+	c.resumed = c.lastTick
 	c.server.log.Warn("process was paused; leases and permits from before are void", zap.Duration("gap", gap))
 	metricPauses.Inc()
 	c.core.SetConfigAge(c.server.configAge())
@@ -123,7 +126,7 @@
 	c.peersLost(c.peers.Expire(now))
 	c.retries.Expire(now)
 	c.core.Tick(now)
-	c.server.requests.checkDeadlines(c.lastTick, deadlineGrace)
+	c.server.requests.checkDeadlines(c.lastTick, c.resumed, deadlineGrace)
 }
 
 // peersLost tells the tables about entry processes that are gone or have
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -115,12 +115,17 @@
 }
 
 // checkDeadlines asserts that no request is in the table longer than allowed
-// past its deadline.
-func (t *requestTable) checkDeadlines(now time.Time, allowed time.Duration) {
+// past its deadline. While the process was paused, until resumed, it could not
+// end any.
+func (t *requestTable) checkDeadlines(now, resumed time.Time, allowed time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.rows {
-		late := now.Sub(r.deadline)
+		due := r.deadline
+		if resumed.After(due) {
+			due = resumed
+		}
+		late := now.Sub(due)
 		invariant.Report(late <= allowed, "request_past_deadline",
 			"request %s of account %s is %s past its deadline in phase %s", r.id, r.account.Name, late, phase(r.phase.Load()))
 	}
