Handle SIGTERM from before the start of the entry process

Cause: a signal that arrived while the process was starting ended it without a planned stop. Change: the handler is registered before the server starts. Conclusion: no test; the window before main runs cannot be closed.

--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	// A signal that arrives during the start must lead to a planned stop as well.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	server, err := entry.New(s, entry.Options{}, log)
 	if err != nil {
 		return errors.Annotate(err, "set up")
@@ -46,8 +49,6 @@
 	if err := server.Start(); err != nil {
 		return errors.Annotate(err, "start")
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	sig := <-stop
 	log.Info("stopping", zap.Stringer("signal", sig))
 	err = server.Drain()
