Truncate answers without streaming in the middle of the document

Cause: the truncation fault left out the last token of an answer without streaming and sent it as a complete document with finish reason stop.

Change: the simulated engine states the whole length and sends half of the document, as the simulated plain service does.

Conclusion: TestTruncatedWholeAnswer shows that one such answer is asked for again and that a repeated one is reported as failed.

--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -53,6 +53,22 @@
 	c.eventually("the engine holds no memory", func() bool { return engine.Stats().ReservedTokens == 0 })
 }
 
+// Guards against an answer without streaming that breaks off and reaches the
+// caller as a whole one (promise 5).
+func TestTruncatedWholeAnswer(t *testing.T) {
+	c := newCluster(t, layout{domains: 1, entriesPerDomain: 1, enginesPerDomain: 1, coldLimit: 8})
+	c.setFaults(c.engine(0, 0), func(f *standin.Faults) { f.TruncateNext = 1 })
+	got := c.ask(0, prompt{text: "not streamed", output: 8})
+	if got.status != http.StatusOK || !strings.Contains(got.body, "sum:") {
+		t.Errorf("one answer broke off: status %d, code %q: %s", got.status, got.code, got.body)
+	}
+	c.setFaults(c.engine(0, 0), func(f *standin.Faults) { f.TruncateNext = -1 })
+	got = c.ask(0, prompt{text: "not streamed", output: 8})
+	if got.code != "backend_failed" || got.run != "unknown" {
+		t.Errorf("status %d, code %q, run %q: %s", got.status, got.code, got.run, got.body)
+	}
+}
+
 // Guards against engine memory that is lost when the caller leaves, when the
 // deadline passes and when the engine is silent (promises 1 and 2).
 func TestMemoryIsGivenBack(t *testing.T) {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -18,7 +18,8 @@
 	// CrossIDNext with the answer to the request before.
 	WrongIDNext int `json:"wrong_id_next,omitempty"`
 	CrossIDNext int `json:"cross_id_next,omitempty"`
-	// TruncateNext streams end without checksum and end mark.
+	// TruncateNext streams end without checksum and end mark, and other answers
+	// in the middle of the document.
 	TruncateNext int `json:"truncate_next,omitempty"`
 	// DuplicateNext streams repeat their first event.
 	DuplicateNext int `json:"duplicate_next,omitempty"`
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -60,6 +60,19 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// writePart writes half of a document under the length of the whole one, which
+// makes the loss visible to the receiver.
+func writePart(w http.ResponseWriter, v any) {
+	doc, err := json.Marshal(v)
+	if err != nil {
+		// The documents have only strings and numbers.
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(doc)))
+	_, _ = w.Write(doc[:len(doc)/2])
+}
+
 func writeError(w http.ResponseWriter, status int, code, message string) {
 	writeJSON(w, status, map[string]any{"error": map[string]any{"code": code, "message": message}})
 }
@@ -253,7 +266,12 @@
 	for _, e := range events {
 		text.WriteString(e.text)
 	}
-	writeJSON(w, http.StatusOK, r.answer.complete(text.String(), r.kv))
+	answer := r.answer.complete(text.String(), r.kv)
+	if r.plan.truncate {
+		writePart(w, answer)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
 }
 
 // detach ends an attachment. Without another reader the request is cancelled,
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -124,15 +123,12 @@
 }
 
 func (b *boot) answerPlain(w http.ResponseWriter, reply *PlainReply, truncate bool) {
-	doc, _ := json.Marshal(reply)
 	w.Header().Set(openai.HeaderRequestID, reply.RequestID)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", fmt.Sprint(len(doc)))
 	if truncate {
-		// The stated length makes the loss visible to the receiver.
-		doc = doc[:len(doc)/2]
+		writePart(w, reply)
+		return
 	}
-	_, _ = w.Write(doc)
+	writeJSON(w, http.StatusOK, reply)
 }
 
 func effectID(hr *http.Request, raw []byte) string {
