--- a/internal/soak/setup_test.go
+++ b/internal/soak/setup_test.go
@@ -79,10 +79,25 @@
 
 func domainName(i int) string { return fmt.Sprintf("d%d", i+1) }
 
+// folder returns the folder of settings, data and logs. SOAK_DIR names one that is
+// kept after the test.
+func folder(t *testing.T) string {
+	t.Helper()
+	parent := os.Getenv("SOAK_DIR")
+	if parent == "" {
+		return t.TempDir()
+	}
+	dir, err := os.MkdirTemp(parent, "soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
 // newSetup starts a set-up and waits until every entry process serves.
 func newSetup(t *testing.T, l layout) *setup {
 	t.Helper()
-	s := &setup{t: t, layout: l, dir: t.TempDir(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &setup{t: t, layout: l, dir: folder(t), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	t.Cleanup(s.stop)
 	s.addStates()
 	s.addEntries()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -100,7 +100,10 @@
 	var traffic, watcher sync.WaitGroup
 	k.startTraffic(&traffic)
 	watched := make(chan struct{})
-	watcher.Go(func() { k.watch(watched) })
+	watcher.Go(func() { repeat(watched, k.watchOverloads) })
+	// Looks at paused processes take up to a second each, which must not delay
+	// the look at the engines beyond their restart.
+	watcher.Go(func() { repeat(watched, func() { k.watchManifests(); k.checkInvariants() }) })
 	k.disturb(duration)
 	k.faults.Wait()
 	k.heal()
@@ -276,17 +279,15 @@
 	k.schedule = append(k.schedule, fmt.Sprintf("%v %s", k.at(), fmt.Sprintf(format, args...)))
 }
 
-// watch checks what must hold at all times.
-func (k *soakRun) watch(done <-chan struct{}) {
+// repeat checks what must hold at all times until done is closed.
+func repeat(done <-chan struct{}, check func()) {
 	for {
 		select {
 		case <-done:
 			return
 		case <-time.After(watchInterval):
+			check()
 		}
-		k.watchOverloads()
-		k.watchManifests()
-		k.checkInvariants()
 	}
 }
 
@@ -399,7 +400,7 @@
 	}
 	switch kind {
 	case 0:
-		k.inject(e.name, "SIGTERM", func() error { return terminate(e.process, drainLimit, down) })
+		k.inject(e.name, "SIGTERM", func() error { return k.terminate(e.process, e.admin, drainLimit, down) })
 	case 1:
 		k.inject(e.name, "SIGKILL", func() error { return killFor(e.process, down, nil) })
 	default:
@@ -416,7 +417,7 @@
 	}
 	switch kind {
 	case 0:
-		k.inject(p.name, "SIGTERM", func() error { return terminate(p.process, patience, down) })
+		k.inject(p.name, "SIGTERM", func() error { return k.terminate(p.process, p.admin, patience, down) })
 	case 1:
 		k.inject(p.name, "SIGKILL", func() error { return killFor(p.process, down, nil) })
 	case 2:
@@ -445,7 +446,12 @@
 	return p.start()
 }
 
-func terminate(p *process, limit, down time.Duration) error {
+// terminate stops a process that has started up: before that it has no handler
+// for the signal and nothing to interrupt.
+func (k *soakRun) terminate(p *process, admin string, limit, down time.Duration) error {
+	if !holds(patience, func() bool { _, err := k.fetch(admin, "/metrics"); return err == nil }) {
+		return fmt.Errorf("not started within %v", patience)
+	}
 	p.signal(syscall.SIGTERM)
 	if !p.wait(limit) {
 		return fmt.Errorf("not exited %v after SIGTERM", limit)
