Cancel a request whose engine answered another one

Cause: an answer under another id was reported to the dispatcher as a complete response. The dispatcher gave the slot away while the engine ran the request on and kept it for a resume, counted the mismatch as a good response in the cold budget and cleared the suspicion.

Change: a mismatch, and an answer that is too large, is reported as cancelled, which keeps the slot until a load report shows that the request is gone, and the engine is told to cancel.

--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -69,6 +69,33 @@
 	}
 }
 
+// Guards against a request that its engine runs on, uncounted, after an answer
+// under another id: the slot of a cold engine was given away, and the mismatch
+// counted as a good response (promises 2 and 3).
+func TestMismatchIsNoCompletion(t *testing.T) {
+	c := newCluster(t, layout{
+		domains: 1, entriesPerDomain: 1, enginesPerDomain: 1, coldLimit: 1, timeScale: 1,
+		model: func(m *standin.ModelSettings) { m.ColdRequests = 1_000_000 },
+	})
+	engine := c.engine(0, 0)
+	c.setFaults(engine, func(f *standin.Faults) { f.WrongIDNext = 1 })
+	// 500 tokens take 10 s, and the engine keeps a broken stream for 5 s.
+	got := c.ask(0, prompt{text: "mismatch", stream: true, output: 500})
+	if got.code != "answer_mismatch" {
+		t.Fatalf("status %d, code %q: %s", got.status, got.code, got.body)
+	}
+	if got := c.ask(0, prompt{text: "next", stream: true}); !got.complete() {
+		t.Errorf("the next request: status %d, code %q: %s", got.status, got.code, got.body)
+	}
+	stats := engine.Stats()
+	if stats.MaxConcurrentCold > 1 {
+		t.Errorf("a cold engine with a limit of one held %d requests", stats.MaxConcurrentCold)
+	}
+	if stats.Cancelled != 1 || stats.ReservedTokens != 0 {
+		t.Errorf("the mismatched request was not cancelled: %d cancelled, %d tokens reserved", stats.Cancelled, stats.ReservedTokens)
+	}
+}
+
 // Guards against engine memory that is lost when the caller leaves, when the
 // deadline passes and when the engine is silent (promises 1 and 2).
 func TestMemoryIsGivenBack(t *testing.T) {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -123,6 +123,7 @@
 	case ctx.Err() != nil:
 		out.step, out.err = wirepb.Progress_STEP_CANCELLED, cancelled(ctx, true)
 	case cause == relay.ErrMismatch:
+		out.step = wirepb.Progress_STEP_CANCELLED
 		out.err = refusal.Unknown(refusal.AnswerMismatch, "engine sent an event of another request")
 	case cause == relay.ErrCaller || cause == relay.ErrStalled:
 		out.step, out.err = wirepb.Progress_STEP_CANCELLED, refusal.Unknown(refusal.BackendFailed, cause.Error())
@@ -138,8 +139,12 @@
 }
 
 // cancelStream tells an engine that keeps broken streams for a while that
-// nobody will come back for this one.
+// nobody will come back for this one. An engine that has answered another
+// request may still run this one.
 func (a *attempt) cancelStream() {
+	if a.req.model == nil {
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), healthBudget)
 		defer cancel()
@@ -176,17 +181,17 @@
 	switch {
 	case ctx.Err() != nil:
 		out.step, out.err = wirepb.Progress_STEP_CANCELLED, cancelled(ctx, true)
-		if a.req.model != nil {
-			a.cancelStream()
-		}
+		a.cancelStream()
 	case err != nil:
 		a.log.Info("answer broke off", observe.Error(err))
 		out.step, out.excluded = wirepb.Progress_STEP_BROKEN, a.member.GetBackend()
 		out.err = refusal.Unknown(refusal.BackendFailed, "connection broke before the whole answer had arrived")
 	case len(body) > maxBufferedAnswer:
-		out.err = refusal.Unknown(refusal.AnswerTruncated, "answer is larger than 16 MiB")
+		out.step, out.err = wirepb.Progress_STEP_CANCELLED, refusal.Unknown(refusal.AnswerTruncated, "answer is larger than 16 MiB")
+		a.cancelStream()
 	case a.req.model != nil && !bytes.Contains(body, []byte(a.id)):
-		out.err = refusal.Unknown(refusal.AnswerMismatch, "answer belongs to another request")
+		out.step, out.err = wirepb.Progress_STEP_CANCELLED, refusal.Unknown(refusal.AnswerMismatch, "answer belongs to another request")
+		a.cancelStream()
 	}
 	if out.err != nil {
 		return out
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -219,8 +219,9 @@
 			out.step = wirepb.Progress_STEP_CANCELLED
 		}
 	case errors.Is(err, backend.ErrMismatch):
-		out.step = wirepb.Progress_STEP_DONE
+		out.step = wirepb.Progress_STEP_CANCELLED
 		out.err = refusal.Unknown(refusal.AnswerMismatch, "backend server answered another request")
+		a.cancelStream()
 	case sent:
 		out.step = wirepb.Progress_STEP_BROKEN
 		out.err = refusal.Unknown(refusal.BackendFailed, "connection to the backend server broke")
@@ -251,8 +252,9 @@
 		return outcome{}
 	}
 	if resp.Header.Get(backend.RequestIDHeader) != a.id {
+		a.cancelStream()
 		return outcome{
-			sent: true, step: wirepb.Progress_STEP_DONE,
+			sent: true, step: wirepb.Progress_STEP_CANCELLED,
 			err: refusal.Unknown(refusal.AnswerMismatch, "answer of the engine carries no request id"),
 		}
 	}
