Repeat events of streams only

Cause: the fault that doubles the first event also doubled the first word of an answer without streaming, which has no events. Change: the fault applies to streams only.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -254,7 +254,7 @@
 	}
 	for i, ev := range events {
 		r.stream.add(ev)
-		if r.plan.duplicate && em.index == 0 && i == 0 {
+		if r.plan.duplicate && r.body.Stream && em.index == 0 && i == 0 {
 			r.stream.add(ev)
 		}
 	}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -21,7 +21,8 @@
 	// TruncateNext streams end without checksum and end mark, and other answers
 	// in the middle of the document.
 	TruncateNext int `json:"truncate_next,omitempty"`
-	// DuplicateNext streams repeat their first event.
+	// DuplicateNext streams repeat their first event. An answer without streaming
+	// has no events to repeat.
 	DuplicateNext int `json:"duplicate_next,omitempty"`
 	// DropNext connections are closed after the request was read and before it
 	// is run, DropAfterRunNext after it was run.
