--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -160,7 +160,7 @@
 		}
 		r := k.ask(k.entries[rng.IntN(len(k.entries))], p)
 		if r.Outcome == loadtool.Wrong {
-			k.t.Errorf("wrong answer: %s %s (request %s)", r.Code, r.Error, r.Request)
+			k.t.Errorf("at %v: wrong answer: %s %s (request %s, streamed %v)", k.at(), r.Code, r.Error, r.Request, !p.whole)
 		}
 		k.count("stream", string(r.Outcome), r.Code, r.Run)
 	}
