--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -22,9 +22,8 @@
 	p := c.pool(a.FailureDomain, a.Service)
 	b := p.backends[a.ID]
 	if b == nil {
-		if c.releasing {
-			return c.reply(0, true)
-		}
+		// Also while releasing: to pass on a lease that another owner may still hold,
+		// this process must wait for it like any new owner.
 		b = p.add(a.ID)
 	} else if a.Boot < b.boot || (a.Boot == b.boot && a.Sequence <= b.last.Sequence) {
 		// An announcement that was overtaken must not prolong the lease.
@@ -33,10 +32,13 @@
 	c.takeOwnership(b, a)
 	if c.releasing && c.released(b) {
 		b.lease = 0
+		b.touch()
 		return c.reply(0, true)
 	}
 	b.lease = max(b.lease, c.arrival()+announce.Lease)
 	c.takeReport(b, a)
+	b.touch()
+	c.assignLong(p, c.engines(p))
 	c.reconcile(b)
 	c.drainQueue(p)
 	return c.reply(max(0, b.lease-c.now), false)
@@ -84,7 +86,14 @@
 		b.waitUntil = max(b.waitUntil, c.now+takeoverWait)
 		b.provenFrom = b.waitUntil
 	}
-	if fresh && a.PreviousOwner != "" && !a.Load.Cold {
+	if a.PreviousOwner == "" || a.PreviousOwner == c.cfg.Entry {
+		return
+	}
+	if !fresh {
+		// What this process knew from an earlier time as owner may have changed.
+		b.budget = coldstart.New(a.Boot, s.ColdLimit, a.ColdLimitRequests, full)
+	}
+	if !a.Load.Cold {
 		// The old owner had shown that the backend server bears its open requests.
 		b.budget.Assume(len(a.Load.Open))
 	}
@@ -95,17 +104,16 @@
 func (c *Core) newBoot(b *backend, boot uint64) {
 	for _, d := range sortedOpen(b) {
 		if d.state != stateGranted {
-			c.free(d, true)
+			c.free(d, false) // other members of a group may still run it
 		}
 	}
 	b.boot = boot
 	b.budget.Boot(boot)
 	b.cache = prefixCache{}
-	b.measured, b.speed = false, 0
+	b.meter, b.speed, b.base = speedometer{}, 0, 0
 	b.reportAt, b.reportSure, b.reported, b.foreignStale = 0, 0, nil, true
 	clear(b.linger)
-	// The owner of the old boot knows all grants, so nothing needs to be waited for.
-	b.waitUntil, b.provenFrom = 0, 0
+	// A waiting period goes on: permits of the previous owner do not name the boot.
 }
 
 // released tells whether the lease of a backend server can be given up: nobody may
@@ -142,8 +150,8 @@
 		}
 	}
 	b.budget.Reported(a.Load.Cold)
-	if !b.measured && a.Load.PrefillTokensPerSecond > 0 {
-		b.speed = a.Load.PrefillTokensPerSecond
+	if a.Load.PrefillTokensPerSecond > 0 {
+		b.stated = a.Load.PrefillTokensPerSecond
 	}
 }
 
@@ -165,11 +173,9 @@
 	}
 }
 
-// usable tells whether a backend server may be granted now, and why not.
-func (c *Core) usable(b *backend) (bool, string) {
+// checkUsable computes usable.
+func (c *Core) checkUsable(b *backend) (bool, string) {
 	switch {
-	case b.last == nil:
-		return false, "never announced"
 	case b.last.Leaving:
 		return false, "leaving"
 	case b.down:
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -35,6 +35,9 @@
 	times times
 	// next is the position of the round robin policy.
 	next int
+
+	sizes      map[string]sizes
+	sizesEvent uint64
 }
 
 // backend is one backend server.
@@ -63,8 +66,10 @@
 	reserved   uint64
 	open       map[string]*dispatch
 	cache      prefixCache
-	speed      float64 // prefill speed, in tokens/s; zero if unknown
-	measured   bool
+	meter      speedometer
+	speed      float64       // measured prefill speed, in tokens/s; zero if unknown
+	base       time.Duration // measured fixed time to a first token
+	stated     float64       // prefill speed by the load report, in tokens/s
 	// pending lists the dispatches without a first token in order of their grants.
 	pending []*dispatch
 	// linger holds requests that ended here but may still run, until a report
@@ -73,6 +78,7 @@
 	// foreign caches the count of requests that other owners started.
 	foreign      int
 	foreignStale bool
+	memo         memo
 }
 
 type dispatchState int
@@ -132,6 +138,9 @@
 	finished bool
 	// expired holds a dispatch whose permit ran out, for a late start report.
 	expired *dispatch
+	// interrupted holds a started dispatch whose end was not reported as done;
+	// its caller may come back for the rest of the stream.
+	interrupted *dispatch
 }
 
 func (d *dispatch) tokens() uint64 { return d.req.PromptTokens + d.req.MaxOutputTokens }
--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -28,11 +28,14 @@
 	dir      string
 	replicas []ReplicaConfig
 	entries  uint64
+	timeout  time.Duration
 	servers  map[string]*Server
 
 	mu    sync.Mutex
 	cut   map[string]bool // "from>to"
 	conns map[string][]net.Conn
+	// wrap, when set, replaces each connection between replicas.
+	wrap func(net.Conn) net.Conn
 }
 
 func newCluster(t testing.TB, size int) *cluster {
@@ -72,7 +75,7 @@
 	}
 	r, _ := set.replica(name)
 	set.Listen, set.FailureDomain = r.Address, r.FailureDomain
-	s, err := Start(set, Options{Dial: c.dialer(name)}, c.logger(name))
+	s, err := Start(set, Options{Dial: c.dialer(name), ProposeTimeout: c.timeout}, c.logger(name))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -123,6 +126,9 @@
 			return nil, &net.OpError{Op: "dial", Net: network, Err: errors.New("link is cut")}
 		}
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil && c.wrap != nil {
+			conn = c.wrap(conn)
+		}
 		if err == nil {
 			c.mu.Lock()
 			c.conns[link] = append(c.conns[link], conn)
@@ -209,9 +215,12 @@
 	defer cancel()
 	env, err := client.Call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Propose{Propose: &wirepb.Propose{Command: cmd}}})
 	var remote *wire.RemoteError
+	var op *net.OpError
 	switch {
 	case errors.As(err, &remote):
 		return nil, remote.Code
+	case errors.As(err, &op) && op.Op == "dial":
+		return nil, codeNoLeader
 	case err != nil:
 		return nil, codeOutcomeUnknown
 	}
--- a/internal/stateserver/server.go
+++ b/internal/stateserver/server.go
@@ -52,14 +52,15 @@
 
 // Timing of the consensus core. An election starts one to two election
 // timeouts after the last contact, so that a lost leader is replaced within
-// about a second. A heartbeat every fifth of it tolerates a lost one.
+// about a second. Three heartbeat rounds fit into a lease. Shorter intervals
+// bring an idle replica above the target of 1.5% of a core.
 const (
 	electionTimeout   = 500 * time.Millisecond
-	heartbeatInterval = 100 * time.Millisecond
+	heartbeatInterval = 150 * time.Millisecond
 	// maxClockDrift is 2% of two election timeouts, far above what clocks of
 	// VMs show.
 	maxClockDrift = 20 * time.Millisecond
-	tickInterval  = 20 * time.Millisecond
+	tickInterval  = 50 * time.Millisecond
 	// leaseDuration is how long the contact with a leader proves its lease.
 	leaseDuration = electionTimeout - maxClockDrift
 )
@@ -80,6 +81,8 @@
 	FS wal.FS
 	// Now returns the monotonic time since the process started.
 	Now func() time.Duration
+	// ProposeTimeout bounds a proposal or query; zero means the default.
+	ProposeTimeout time.Duration
 }
 
 // Server is a running replica.
@@ -117,6 +120,9 @@
 		start := time.Now()
 		opts.Now = func() time.Duration { return time.Since(start) }
 	}
+	if opts.ProposeTimeout == 0 {
+		opts.ProposeTimeout = proposeTimeout
+	}
 	tlsConfig, err := loadTLS(set)
 	if err != nil {
 		return nil, errors.Trace(err)
