--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -42,8 +42,25 @@
 		s.refuse(w, id, refusal.Unknown(refusal.BackendFailed, "no running request of this account has this id"))
 		return
 	}
+	service, ok := v.Manifest.Service(found.GetService())
+	if !ok {
+		s.refuse(w, id, refusal.Unknown(refusal.BackendFailed, "the service of this request is gone"))
+		return
+	}
+	r := &request{id: id, version: v, account: account, service: service, idempotent: true, arrived: time.Now()}
+	r.deadline = r.arrived.Add(time.Duration(found.GetDeadlineMs()) * time.Millisecond)
+	r.setBackend(found.GetBackend())
+	if !s.requests.add(r) {
+		s.refuse(w, id, refusal.New(refusal.Draining, "this process is stopping").After(drainRetry))
+		return
+	}
+	defer s.requests.remove(r)
+	ctx, cancel := context.WithDeadlineCause(hr.Context(), r.deadline, errDeadline)
+	defer cancel()
+	defer context.AfterFunc(s.abort, cancel)()
+	r.setPhase(phaseAnswering)
 	w.Header().Set(requestIDHeader, requestID)
-	s.relayFound(w, hr, found, requestID, last)
+	s.relayFound(ctx, w, found, requestID, last)
 }
 
 // findDispatch asks all dispatchers, this process included.
@@ -81,9 +98,7 @@
 // relayFound continues the stream after event last. The dispatcher learns of
 // its end from the backend server's reports, because the process that reserved
 // it is gone.
-func (s *Server) relayFound(w http.ResponseWriter, hr *http.Request, f *wirepb.FoundDispatch, requestID string, last uint64) {
-	ctx, cancel := context.WithTimeoutCause(hr.Context(), time.Duration(f.GetDeadlineMs())*time.Millisecond, errDeadline)
-	defer cancel()
+func (s *Server) relayFound(ctx context.Context, w http.ResponseWriter, f *wirepb.FoundDispatch, requestID string, last uint64) {
 	h := http.Header{}
 	h.Set(lastEventHeader, strconv.FormatUint(last, 10))
 	resp, err := s.backends.Do(ctx, &backend.Request{
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -39,6 +39,9 @@
 // headerTimeout bounds the time a caller takes to send the headers.
 const headerTimeout = 5 * time.Second
 
+// idleTimeout closes connections of callers that send nothing for long.
+const idleTimeout = 2 * time.Minute
+
 // Options are the parts of a server that tests replace.
 type Options struct {
 	// Dial replaces the dialler of connections to other processes, and
@@ -178,7 +181,7 @@
 	if err != nil {
 		return nil, "", errors.Annotatef(err, "listen on %s", address)
 	}
-	hs := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	hs := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	s.wg.Go(func() { _ = hs.Serve(l) })
 	return hs, l.Addr().String(), nil
 }
