Share the client pool and the start of the binaries

Cause: the same pool of clients and the same start of a binary stood in several places. Change: wire.Pool and settings.Main.

--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -3,8 +3,6 @@
 package main
 
 import (
-	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -17,18 +15,7 @@
 	"bilberryhub/internal/settings"
 )
 
-func main() {
-	flags := settings.Register(flag.CommandLine)
-	flag.Parse()
-	if flags.Version {
-		settings.PrintVersion(os.Stdout, "bilberry-entry")
-		return
-	}
-	if err := run(flags); err != nil {
-		fmt.Fprintln(os.Stderr, "bilberry-entry:", err)
-		os.Exit(1)
-	}
-}
+func main() { settings.Main("bilberry-entry", run) }
 
 func run(flags *settings.Flags) error {
 	s, err := entry.LoadSettings(flags.Config)
--- a/cmd/bilberry-load/main.go
+++ b/cmd/bilberry-load/main.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -17,20 +15,7 @@
 	"github.com/juju/errors"
 )
 
-const name = "bilberry-load"
-
-func main() {
-	flags := settings.Register(flag.CommandLine)
-	flag.Parse()
-	if flags.Version {
-		settings.PrintVersion(os.Stdout, name)
-		return
-	}
-	if err := run(flags); err != nil {
-		fmt.Fprintln(os.Stderr, name+":", err)
-		os.Exit(1)
-	}
-}
+func main() { settings.Main("bilberry-load", run) }
 
 func run(flags *settings.Flags) error {
 	if bench.IsMode(flags.Config) {
--- a/cmd/bilberry-standin/main.go
+++ b/cmd/bilberry-standin/main.go
@@ -2,8 +2,6 @@
 package main
 
 import (
-	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,27 +13,14 @@
 	"github.com/juju/errors"
 )
 
-const name = "bilberry-standin"
+func main() { settings.Main("bilberry-standin", run) }
 
-func main() {
-	flags := settings.Register(flag.CommandLine)
-	flag.Parse()
-	if flags.Version {
-		settings.PrintVersion(os.Stdout, name)
-		return
-	}
-	if err := run(flags.Config, flags.Check); err != nil {
-		fmt.Fprintln(os.Stderr, name+":", err)
-		os.Exit(1)
-	}
-}
-
-func run(config string, check bool) error {
-	s, err := standin.LoadSettings(config)
-	if err != nil || check {
+func run(flags *settings.Flags) error {
+	s, err := standin.LoadSettings(flags.Config)
+	if err != nil || flags.Check {
 		return errors.Trace(err)
 	}
-	log, err := observe.NewLogger(name, s.Instances[0].ID, s.LogLevel)
+	log, err := observe.NewLogger("bilberry-standin", s.Instances[0].ID, s.LogLevel)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/cmd/bilberry-state/main.go
+++ b/cmd/bilberry-state/main.go
@@ -2,8 +2,6 @@
 package main
 
 import (
-	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,20 +14,9 @@
 	"bilberryhub/internal/stateserver"
 )
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "bilberry-state:", err)
-		os.Exit(1)
-	}
-}
+func main() { settings.Main("bilberry-state", run) }
 
-func run() error {
-	flags := settings.Register(flag.CommandLine)
-	flag.Parse()
-	if flags.Version {
-		settings.PrintVersion(os.Stdout, "bilberry-state")
-		return nil
-	}
+func run(flags *settings.Flags) error {
 	set, err := stateserver.LoadSettings(flags.Config)
 	if err != nil || flags.Check {
 		return errors.Trace(err)
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return
 	}
-	s.clients.keep(addresses)
+	s.clients.Keep(addresses)
 	for address, self := range messages {
 		s.wg.Go(func() { s.exchange(address, self, round) })
 	}
@@ -72,7 +72,7 @@
 func (s *Server) exchange(address string, self *wirepb.PeerHeartbeat, round int) {
 	ctx, cancel := context.WithTimeout(s.ctx, heartbeatTimeout)
 	defer cancel()
-	st, err := s.clients.get(address).Open(ctx, &envelope{Body: &wirepb.Envelope_PeerHeartbeat{PeerHeartbeat: self}})
+	st, err := s.clients.Get(address).Open(ctx, &envelope{Body: &wirepb.Envelope_PeerHeartbeat{PeerHeartbeat: self}})
 	if err != nil {
 		s.log.Debug("heartbeat failed", zap.String("peer", address), observe.Error(err))
 		return
@@ -112,7 +112,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, heartbeatTimeout)
 	defer cancel()
-	_, _ = s.clients.get(address).Call(ctx, &envelope{Body: &wirepb.Envelope_OpenRequests{OpenRequests: &wirepb.OpenRequests{
+	_, _ = s.clients.Get(address).Call(ctx, &envelope{Body: &wirepb.Envelope_OpenRequests{OpenRequests: &wirepb.OpenRequests{
 		Entry: s.settings.ID, Incarnation: s.incarnation, DispatchIds: ids,
 	}}})
 }
@@ -227,7 +227,7 @@
 	done := make(chan struct{}, len(alive))
 	for _, p := range alive {
 		go func() {
-			_, _ = s.clients.get(p.Address).Call(ctx, &envelope{Body: &wirepb.Envelope_Suspect{Suspect: m}})
+			_, _ = s.clients.Get(p.Address).Call(ctx, &envelope{Body: &wirepb.Envelope_Suspect{Suspect: m}})
 			done <- struct{}{}
 		}()
 	}
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -144,7 +144,7 @@
 func (s *Server) reserveRemote(ctx context.Context, dispatcher peerRef, m *wirepb.Reserve) (*reservation, error) {
 	callCtx, cancel := context.WithCancel(context.Background())
 	stop := context.AfterFunc(ctx, cancel)
-	st, err := s.clients.get(dispatcher.address).Open(callCtx, &wirepb.Envelope{Body: &wirepb.Envelope_Reserve{Reserve: m}})
+	st, err := s.clients.Get(dispatcher.address).Open(callCtx, &wirepb.Envelope{Body: &wirepb.Envelope_Reserve{Reserve: m}})
 	if err != nil {
 		cancel()
 		return nil, errors.Annotatef(err, "reserve at dispatcher %s", dispatcher.id)
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -80,7 +80,7 @@
 	ask := &envelope{Body: &wirepb.Envelope_FindDispatch{FindDispatch: &wirepb.FindDispatch{RequestId: requestID, Account: account}}}
 	for _, p := range others {
 		go func() {
-			env, err := s.clients.get(p.Address).Call(ctx, ask)
+			env, err := s.clients.Get(p.Address).Call(ctx, ask)
 			if err != nil {
 				s.log.Debug("search for a dispatch failed", observe.Error(err))
 			}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -65,7 +65,7 @@
 	sync     *configsync.Syncer
 	claims   *claim.Client
 	backends *backend.Client
-	clients  *clientPool
+	clients  *wire.Pool
 	admin    *observe.Admin
 
 	wire     *wire.Server
@@ -100,7 +100,7 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.abort, s.kill = context.WithCancel(context.Background())
-	s.clients = newClientPool(s.wireOptions())
+	s.clients = wire.NewPool(s.wireOptions())
 	s.admin = observe.NewAdmin(s.dump)
 	return s, nil
 }
@@ -266,7 +266,7 @@
 		if s.wire != nil {
 			_ = s.wire.Close()
 		}
-		s.clients.close()
+		s.clients.Close()
 		if s.claims != nil {
 			s.claims.Close()
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,3 +122,18 @@
 	KeyFile  string `json:"key_file"`
 	CAFile   string `json:"ca_file"`
 }
+
+// Main parses the common flags and calls run, unless only the version is asked
+// for. It ends the process with status 1 when run returns an error.
+func Main(name string, run func(*Flags) error) {
+	flags := Register(flag.CommandLine)
+	flag.Parse()
+	if flags.Version {
+		PrintVersion(os.Stdout, name)
+		return
+	}
+	if err := run(flags); err != nil {
+		fmt.Fprintln(os.Stderr, name+":", err)
+		os.Exit(1)
+	}
+}
--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -117,7 +117,7 @@
 
 func (s *Server) askJoin(ctx context.Context, r ReplicaConfig) joinAnswer {
 	self, _ := s.settings.replica(s.settings.ID)
-	st, err := s.clients.get(r.Address).Open(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Join{
+	st, err := s.clients.Get(r.Address).Open(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Join{
 		Join: &wirepb.Join{Replica: self.withID(s.id)},
 	}})
 	if err != nil {
--- a/internal/stateserver/propose.go
+++ b/internal/stateserver/propose.go
@@ -208,7 +208,7 @@
 	if !ok {
 		return failed(codeNoLeader, "the address of leader %s is not known", leader)
 	}
-	answer, err := s.clients.get(address).Call(ctx, env)
+	answer, err := s.clients.Get(address).Call(ctx, env)
 	if err != nil {
 		return forwardFailure(err)
 	}
--- a/internal/stateserver/server.go
+++ b/internal/stateserver/server.go
@@ -95,7 +95,7 @@
 	wireOpts wire.Options
 	server   *wire.Server
 	admin    *observe.Admin
-	clients  *clients
+	clients  *wire.Pool
 	peers    *transport
 	metrics  *serverMetrics
 
@@ -143,7 +143,7 @@
 		},
 		TLS: tlsConfig, Dial: opts.Dial,
 	}
-	s.clients = newClients(s.wireOpts)
+	s.clients = wire.NewPool(s.wireOpts)
 	s.peers = newTransport(s)
 	if err := s.start(rec); err != nil {
 		_ = s.Close()
@@ -254,7 +254,7 @@
 	}
 	s.wg.Wait()
 	s.peers.wait()
-	s.clients.close()
+	s.clients.Close()
 	if s.admin != nil {
 		_ = s.admin.Close()
 	}
--- a/internal/stateserver/snapshots.go
+++ b/internal/stateserver/snapshots.go
@@ -51,7 +51,7 @@
 func (p *peer) sendSnapshot(ctx context.Context, m *wirepb.RaftMessage) error {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	st, err := p.t.s.clients.get(p.address).Open(ctx, raftEnvelope(withoutData(m)))
+	st, err := p.t.s.clients.Get(p.address).Open(ctx, raftEnvelope(withoutData(m)))
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -130,7 +130,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	probes := &configsync.Probes[time.Duration]{}
-	st, err := s.clients.get(address).Open(ctx, s.leaderProbe(probes))
+	st, err := s.clients.Get(address).Open(ctx, s.leaderProbe(probes))
 	if err != nil {
 		return
 	}
--- a/internal/stateserver/subscribe_test.go
+++ b/internal/stateserver/subscribe_test.go
@@ -44,10 +44,10 @@
 	}
 	defer fake.Close()
 	s := &Server{
-		clients: newClients(wire.Options{Self: wire.Identity{Kind: wire.KindState, ID: "follower"}}),
+		clients: wire.NewPool(wire.Options{Self: wire.Identity{Kind: wire.KindState, ID: "follower"}}),
 		opts:    Options{Now: func() time.Duration { return time.Duration(clock.Load()) }},
 	}
-	defer s.clients.close()
+	defer s.clients.Close()
 	s.leader.Store(&leader)
 	s.published.Store(&publication{config: &wirepb.ConfigSnapshot{Index: 1}})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/stateserver/transport.go
+++ b/internal/stateserver/transport.go
@@ -20,34 +20,6 @@
 	reconnectMax = 500 * time.Millisecond
 )
 
-// clients keeps one session for each address.
-type clients struct {
-	opts wire.Options
-	mu   sync.Mutex
-	m    map[string]*wire.Client
-}
-
-func newClients(opts wire.Options) *clients {
-	return &clients{opts: opts, m: map[string]*wire.Client{}}
-}
-
-func (c *clients) get(address string) *wire.Client {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.m[address] == nil {
-		c.m[address] = wire.NewClient(address, c.opts)
-	}
-	return c.m[address]
-}
-
-func (c *clients) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, client := range c.m {
-		_ = client.Close()
-	}
-}
-
 // transport sends messages of the consensus core to other replicas.
 type transport struct {
 	s  *Server
@@ -174,7 +146,7 @@
 
 // sendMessages keeps one stream open and sends the queue over it.
 func (p *peer) sendMessages(ctx context.Context) {
-	client := p.t.s.clients.get(p.address)
+	client := p.t.s.clients.Get(p.address)
 	pause := reconnectMin
 	for {
 		select {
