Kill the claimant in the middle of known calls

Cause: TestProcessFaults/killed_claimant failed on a busy machine: the kill came before any call was answered (40 of 40 interrupted). Change: half of the calls are answered before, and the kill waits until a call of the other half has run.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -366,18 +366,25 @@
 	key := func(i int) string { return fmt.Sprintf("job-%d", i) }
 	answers := make([][]booking, keys)
 	var wg sync.WaitGroup
-	for i := range keys {
+	book := func(i int) {
+		answers[i] = append(answers[i], s.book(killed, key(i), key(i)))
+		for _, e := range s.others(killed) {
+			answers[i] = append(answers[i], s.book(e, key(i), key(i)))
+		}
+	}
+	// One half is answered before the kill. It interrupts the other half, whose
+	// calls start over about the time that one takes.
+	for i := range keys / 2 {
+		wg.Go(func() { book(i) })
+	}
+	wg.Wait()
+	for i := keys / 2; i < keys; i++ {
 		wg.Go(func() {
-			// The calls start over twice the time that one takes, so that the
-			// claimant dies before, during and after different ones.
-			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
-			answers[i] = append(answers[i], s.book(killed, key(i), key(i)))
-			for _, e := range s.others(killed) {
-				answers[i] = append(answers[i], s.book(e, key(i), key(i)))
-			}
+			time.Sleep(time.Duration(i-keys/2) * 10 * time.Millisecond)
+			book(i)
 		})
 	}
-	time.Sleep(300 * time.Millisecond)
+	s.within(patience, "a call of the second half runs", func() bool { return len(s.effects()) > keys/2 })
 	if err := killed.kill(); err != nil {
 		t.Fatal(err)
 	}
