--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -38,7 +38,8 @@
 {"mode": "once", "entries": ["127.0.0.1:$((BASE + 100))"], "keys": ["key-large"], "model": "fitter-1",
  "requests": $1, "concurrency": $2, "prompt_tokens": 100, "max_tokens": $3, "deadline_ms": 120000, "timeout_seconds": 120}
 JSON
-  timeout 130 bin/bilberry-load -config "$DIR/load.json" > "$DIR/load.log" 2>&1 || { echo "load failed:"; tail -3 "$DIR/load.log"; }
+  timeout 130 bin/bilberry-load -config "$DIR/load.json" > "$DIR/load.log" 2>&1 || echo "load failed"
+  grep -m1 outcomes "$DIR/load.log" || tail -3 "$DIR/load.log"
 }
 
 streams() {
