--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -105,7 +105,13 @@
   find_base
   write_all
   start_all
-  retry timeout 5 bin/bilberryctl -config "$DIR/ctl.json" apply "$DIR/manifest.json" && retry probe_ok
+  retry timeout 5 bin/bilberryctl -config "$DIR/ctl.json" apply "$DIR/manifest.json" && retry probe_ok && all_alive
+}
+
+# all_alive fails when a process has ended, for example for want of its port.
+all_alive() {
+  local pid
+  for pid in "${PIDS[@]}"; do kill -0 "$pid" 2>/dev/null || return 1; done
 }
 
 # bring_up starts everything and grows the cold start budgets. Another set-up may
