Keep the permit of a group for its later members

Cause: each member of a group checked the permit of 500 ms again, so prompts whose first part takes longer always failed, and the refusal said that nothing had run. Change: a permit that was used for the first member does not expire for the others; a failure of a later member says that the outcome is unknown. A prompt that is too large at the moment gets a time after which a retry may succeed. Conclusion: TestPromptsLargerThanOneEngine, with parts that take longer than a permit, fails without the change and passes with it.

--- a/internal/e2e/group_test.go
+++ b/internal/e2e/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -16,7 +17,11 @@
 	const memory, tokens = 4096, 10_000
 	c := newCluster(t, layout{
 		domains: 1, entriesPerDomain: 2, enginesPerDomain: 4, coldLimit: 8,
-		model: func(m *standin.ModelSettings) { m.MemoryTokens, m.ExportSeconds, m.RestartSeconds = memory, 2, 1 },
+		timeScale: 1,
+		// One part takes longer than a permit lives.
+		model: func(m *standin.ModelSettings) {
+			m.MemoryTokens, m.ExportSeconds, m.RestartSeconds, m.PrefillTokensPerSecond = memory, 2, 1, 6000
+		},
 	})
 	large := func(i int) prompt {
 		return prompt{
@@ -24,6 +29,7 @@
 			tokens: tokens, output: 16, stream: true,
 		}
 	}
+	c.eventually("all engines are known", func() bool { return c.ask(1, prompt{tokens: 3 * memory, output: 1}).status == http.StatusOK })
 	var wg sync.WaitGroup
 	for i := range 4 {
 		wg.Go(func() {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -35,9 +35,12 @@
 	res    *reservation
 	start  time.Time
 	log    *zap.Logger
-	// backend is the member that answers.
+	// member is the backend server in use; the last one answers.
 	member *wirepb.GrantMember
 	id     string
+	// started is set when the first member has been sent its part. The permit
+	// has then been used, and the later members are held by the reservation.
+	started bool
 }
 
 // outcome is how an attempt ended.
@@ -139,17 +142,27 @@
 func (a *attempt) exchange(ctx context.Context, w answerWriter) outcome {
 	extra, out := a.prefillParts(ctx)
 	if out.err != nil {
-		return out
+		return a.withParts(out)
 	}
 	resp, out := a.send(ctx, extra)
 	if out.err != nil {
-		return out
+		return a.withParts(out)
 	}
 	defer resp.Body.Close()
 	a.req.setPhase(phaseAnswering)
 	return w.answer(ctx, a, resp)
 }
 
+// withParts corrects the outcome of a member when an earlier member has run its
+// part: something was sent, and the backend servers may still hold it.
+func (a *attempt) withParts(out outcome) outcome {
+	if a.started && !out.sent {
+		out.sent = true
+		out.step = wirepb.Progress_STEP_CANCELLED
+	}
+	return out
+}
+
 // send dispatches the request and checks the status of the answer.
 func (a *attempt) send(ctx context.Context, extra map[string]any) (*http.Response, outcome) {
 	body, err := a.body(extra)
@@ -173,11 +186,14 @@
 
 // beforeSend runs after the last point where the dispatch can wait.
 func (a *attempt) beforeSend() error {
-	if err := a.server.permitError(a.res); err != nil {
+	if err := a.server.permitError(a.res, a.started); err != nil {
 		metricVoidPermits.Inc()
 		return err
 	}
 	a.req.setPhase(phaseSent)
+	if a.started {
+		return nil
+	}
 	a.res.report(wirepb.Progress_STEP_STARTED, time.Since(a.start), 0)
 	return nil
 }
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -17,6 +18,9 @@
 // maxPools bounds how many dispatchers one attempt asks.
 const maxPools = 4
 
+// tooLargeRetry is when a prompt may fit again: engines restart within minutes.
+const tooLargeRetry = time.Minute
+
 // target is a pool and the dispatcher to ask.
 type target struct {
 	domain     string
@@ -48,7 +52,8 @@
 	case err != nil:
 		return nil, noCapacity("this process is stopping")
 	case code == refusal.PromptTooLarge:
-		return nil, refusal.New(code, fmt.Sprintf("no engine or group of engines can hold %d tokens", q.Tokens))
+		// Engines may be missing for a while, so a later try is not hopeless.
+		return nil, refusal.New(code, fmt.Sprintf("no engine or group of engines in service can hold %d tokens", q.Tokens)).After(tooLargeRetry)
 	case len(out) == 0:
 		return nil, noCapacity("no backend server of service " + r.service.Name + " is in service")
 	}
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -37,7 +37,7 @@
 		if out.err != nil {
 			return nil, out
 		}
-		kv = next
+		kv, a.started = next, true
 	}
 	a.member = members[len(members)-1]
 	kv.PartTokens = int(a.member.GetPartTokens())
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -38,9 +38,10 @@
 	})
 }
 
-// permitError says why a grant may not be used any more.
-func (s *Server) permitError(r *reservation) error {
-	if !time.Now().Before(r.expires) {
+// permitError says why a grant may not be used any more. A permit that has been
+// used for the first member of a group does not expire for the others.
+func (s *Server) permitError(r *reservation, used bool) error {
+	if !used && !time.Now().Before(r.expires) {
 		return errors.Errorf("permit for backend server %s has expired", r.grant.GetMembers()[0].GetBackend())
 	}
 	v := s.sync.Current()
