--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -6,7 +6,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -161,32 +160,36 @@
 	return p.started
 }
 
+const (
+	// The range is below the one from which the system takes ports of outgoing
+	// connections. Such a connection could otherwise occupy the port of a process
+	// that is down.
+	firstPort, lastPort = 10_000, 32_000
+	// portsPerRun is above what all set-ups of one test run take together.
+	portsPerRun = 400
+)
+
+// ports hands out each port once. Test runs at the same time start at different
+// places, because a port that is free now is taken only when its process starts.
 var ports = struct {
 	sync.Mutex
-	used map[int]bool
-}{used: map[int]bool{}}
+	next int
+}{next: firstPort + os.Getpid()%((lastPort-firstPort)/portsPerRun)*portsPerRun}
 
-// freePort returns a loopback address below the range from which the system
-// takes ports of outgoing connections. Such a connection could otherwise occupy
-// the port of a process that is down.
+// freePort returns a loopback address on which nobody listens.
 func freePort(t *testing.T) string {
 	t.Helper()
-	const first, last, attempts = 20000, 32000, 1000
 	ports.Lock()
 	defer ports.Unlock()
-	for range attempts {
-		port := first + rand.IntN(last-first)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil || ports.used[port] {
-			if err == nil {
-				_ = l.Close()
-			}
-			continue
+	for range lastPort - firstPort {
+		if ports.next++; ports.next >= lastPort {
+			ports.next = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
 		}
-		_ = l.Close()
-		ports.used[port] = true
-		return address
 	}
 	t.Fatal("no free port found")
 	return ""
