--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -39,6 +39,9 @@
 // headerTimeout bounds the time a caller takes to send the headers.
 const headerTimeout = 5 * time.Second
 
+// idleTimeout closes connections of callers that send nothing for long.
+const idleTimeout = 2 * time.Minute
+
 // Options are the parts of a server that tests replace.
 type Options struct {
 	// Dial replaces the dialler of connections to other processes, and
@@ -62,7 +65,7 @@
 	sync     *configsync.Syncer
 	claims   *claim.Client
 	backends *backend.Client
-	clients  *clientPool
+	clients  *wire.Pool
 	admin    *observe.Admin
 
 	wire     *wire.Server
@@ -97,7 +100,7 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.abort, s.kill = context.WithCancel(context.Background())
-	s.clients = newClientPool(s.wireOptions())
+	s.clients = wire.NewPool(s.wireOptions())
 	s.admin = observe.NewAdmin(s.dump)
 	return s, nil
 }
@@ -178,7 +181,7 @@
 	if err != nil {
 		return nil, "", errors.Annotatef(err, "listen on %s", address)
 	}
-	hs := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	hs := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	s.wg.Go(func() { _ = hs.Serve(l) })
 	return hs, l.Addr().String(), nil
 }
@@ -263,7 +266,7 @@
 		if s.wire != nil {
 			_ = s.wire.Close()
 		}
-		s.clients.close()
+		s.clients.Close()
 		if s.claims != nil {
 			s.claims.Close()
 		}
