--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -120,6 +120,11 @@
 	peer, err := s.opts.negotiate(env, address)
 	if err != nil {
 		_ = st.Send(FailureEnvelope("handshake", "version", err))
+		// The session stays open until the peer has read the reason and ended
+		// the stream; closing it at once can overtake the message.
+		timer := time.AfterFunc(handshakeTimeout, func() { _ = session.Close() })
+		_, _ = st.Recv()
+		timer.Stop()
 		return Peer{}, errors.Trace(err)
 	}
 	return peer, st.Send(s.opts.hello())
