Count the prefill of a group only on the member whose turn it is

Cause: the members of a group prefill one after the other, but all of them counted as busy with a long prefill, so two or three of five engines served no short request for most of a long prefill. Reports of a group also named its first member whichever was in use. Change: each member reports its start; the work moves to it, and reports name the member in use.

--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -79,14 +79,15 @@
 		since, sinceAt = float64(b.last.Load.PrefillTokens), b.reportAt
 	}
 	for i, d := range b.pending {
-		tokens := d.memberOf(b).prefill
+		m := d.memberOf(b)
+		tokens, from := m.prefill, max(d.grantedAt, m.from)
 		total += tokens
 		if i > 0 {
-			own = max(0, own-speed*(d.grantedAt-ownAt).Seconds())
+			own = max(0, own-speed*(from-ownAt).Seconds())
 		}
-		own, ownAt = own+tokens, d.grantedAt
-		if !b.reported[d.id] || d.grantedAt > b.reportAt {
-			at := max(sinceAt, d.grantedAt)
+		own, ownAt = own+tokens, from
+		if !b.reported[d.id] || from > b.reportAt {
+			at := max(sinceAt, from)
 			since = max(0, since-speed*(at-sinceAt).Seconds()) + tokens
 			sinceAt = at
 		}
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -27,12 +27,14 @@
 // hold reserves what a placement needs, on all members at once.
 func (c *Core) hold(d *dispatch, members []member) {
 	d.members = members
-	for _, m := range members {
+	for i, m := range members {
 		b := m.backend
 		b.reserved += m.reserved
 		b.open[d.id] = d
 		b.foreignStale = true
-		if d.state < statePrefilled {
+		// The members of a group prefill one after the other. Until its turn a
+		// member has memory reserved and no work, so it can serve short requests.
+		if d.state < statePrefilled && i == 0 {
 			b.pending = append(b.pending, d)
 		}
 		b.touch()
@@ -139,6 +141,7 @@
 	switch m.Step {
 	case wirepb.Progress_STEP_STARTED:
 		c.markStarted(d)
+		c.startMember(d, m.Backend)
 	case wirepb.Progress_STEP_FIRST_TOKEN:
 		c.markStarted(d)
 		c.firstToken(d, time.Duration(m.ElapsedMs)*time.Millisecond)
@@ -180,6 +183,22 @@
 	return d
 }
 
+// startMember moves the prefill work of a group to the member that begins.
+func (c *Core) startMember(d *dispatch, id string) {
+	if len(d.members) < 2 || d.state != stateStarted {
+		return
+	}
+	for i := range d.members {
+		m := &d.members[i]
+		m.backend.dropPending(d)
+		if m.backend.id == id && m.boot == m.backend.boot {
+			m.from = c.now
+			m.backend.pending = append(m.backend.pending, d)
+		}
+		m.backend.touch()
+	}
+}
+
 func (c *Core) markStarted(d *dispatch) {
 	if d.state == stateGranted {
 		d.state, d.startedAt = stateStarted, c.now
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -101,6 +101,8 @@
 	reserved uint64  // memory, in tokens
 	part     uint64  // part of the prompt, in tokens
 	prefill  float64 // tokens to prefill, without the cached prefix
+	// from is when the member of a group began its part; zero before.
+	from time.Duration
 }
 
 // dispatch is one attempt to run a request.
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -59,7 +59,7 @@
 		ttft := time.Since(a.start)
 		a.req.release()
 		metricFirstToken.Update(time.Since(a.req.arrived).Seconds())
-		a.res.report(wirepb.Progress_STEP_FIRST_TOKEN, ttft, 1)
+		a.res.report(a.member, wirepb.Progress_STEP_FIRST_TOKEN, ttft, 1)
 	}
 	err := a.forward(ctx, st, resp)
 	return a.streamOutcome(ctx, st, err)
@@ -198,7 +198,7 @@
 		return out
 	}
 	if a.req.model != nil {
-		a.res.report(wirepb.Progress_STEP_FIRST_TOKEN, time.Since(a.start), 1)
+		a.res.report(a.member, wirepb.Progress_STEP_FIRST_TOKEN, time.Since(a.start), 1)
 	}
 	if bw.kept != nil {
 		*bw.kept = keptAnswer{status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), body: body}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -126,7 +126,7 @@
 	if out.step == wirepb.Progress_STEP_DONE && res.grant.GetSuspected() {
 		s.clearSuspicion(r)
 	}
-	res.report(out.step, time.Since(a.start), out.tokens)
+	res.report(a.member, out.step, time.Since(a.start), out.tokens)
 	if out.step == wirepb.Progress_STEP_CRASHED {
 		// The crash must be known everywhere before the caller can send the
 		// request again.
@@ -191,10 +191,7 @@
 		return err
 	}
 	a.req.setPhase(phaseSent)
-	if a.started {
-		return nil
-	}
-	a.res.report(wirepb.Progress_STEP_STARTED, time.Since(a.start), 0)
+	a.res.report(a.member, wirepb.Progress_STEP_STARTED, time.Since(a.start), 0)
 	return nil
 }
 
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -27,9 +27,8 @@
 	close   func()
 }
 
-// report sends one step with the time since the dispatch.
-func (r *reservation) report(step wirepb.Progress_Step, elapsed time.Duration, tokens uint64) {
-	m := r.grant.GetMembers()[0]
+// report sends one step on member m with the time since the dispatch.
+func (r *reservation) report(m *wirepb.GrantMember, step wirepb.Progress_Step, elapsed time.Duration, tokens uint64) {
 	r.send(&wirepb.Progress{
 		DispatchId: r.grant.GetDispatchId(), Service: r.reserve.GetService(),
 		FailureDomain: r.reserve.GetFailureDomain(), Step: step,
