Let short requests use engines that are held for a large one

Cause: engines that drain their memory for a waiting large prompt stood idle for all other requests, for as long as their longest request took. Change: a short request may use a held engine while all held engines keep room for the large one beside the short ones.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -15,6 +15,9 @@
 	maxBacklog = 200 * time.Millisecond
 	// openCost is the added cost per open request, which spreads equal choices.
 	openCost = 2 * time.Millisecond
+	// shortMemoryShare is the part of an engine's memory that a request may need
+	// to count as short beside a held one.
+	shortMemoryShare = 32
 	// holdAfter is the wait after which memory is kept free for a request that
 	// fits nowhere, so that smaller ones cannot starve it.
 	holdAfter = time.Second
@@ -122,6 +125,28 @@
 	return false
 }
 
+// fitsBeside tells whether a short request may use an engine that is held for a
+// large one. An engine that waits for its memory to drain would otherwise stand
+// idle for all others, for as long as its longest request takes. The engines held
+// must still have room for the large request beside all short ones, so that
+// these cannot starve it.
+func (c *Core) fitsBeside(large *dispatch, b *backend, d *dispatch) bool {
+	if d.long || b.plain() || d.tokens() > b.last.MemoryTokens/shortMemoryShare {
+		return false
+	}
+	need := large.tokens() + d.tokens()
+	var memory uint64
+	for _, t := range large.holdTargets {
+		memory += t.last.MemoryTokens
+		for _, x := range t.open {
+			if !x.long {
+				need += x.memberOf(t).reserved
+			}
+		}
+	}
+	return memory >= need
+}
+
 // bilberry is the full policy.
 type bilberry struct{}
 
@@ -134,7 +159,10 @@
 	var best *backend
 	least := math.Inf(1)
 	for _, b := range d.pool.order {
-		if by := held[b]; (by != nil && by != d) || !c.candidate(b, d) || !c.lengthAllows(b, d) {
+		if by := held[b]; by != nil && by != d && !c.fitsBeside(by, b, d) {
+			continue
+		}
+		if !c.candidate(b, d) || !c.lengthAllows(b, d) {
 			continue
 		}
 		if !b.plain() && c.freeMemory(b) < d.tokens() {
