--- a/internal/bench/compare.go
+++ b/internal/bench/compare.go
@@ -155,11 +155,11 @@
 
 func isShort(r *loadtool.Result) bool { return r.Prompt < workload.ShortTokens && r.TTFT > 0 }
 
-// times summarises the TTFT of the chosen results.
-func times(results []*loadtool.Result, chosen func(*loadtool.Result) bool) loadtool.Times {
+// times summarises the TTFT of the results that include selects.
+func times(results []*loadtool.Result, include func(*loadtool.Result) bool) loadtool.Times {
 	rec := loadtool.NewRecorder()
 	for _, r := range results {
-		if chosen(r) {
+		if include(r) {
 			rec.Add(r.TTFT)
 		}
 	}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -57,33 +57,33 @@
 // large prompts that each held half of what they need would block each other.
 func (c *Core) placeGroup(d *dispatch, held map[*backend]*dispatch) []member {
 	need := d.tokens()
-	var chosen []*backend
+	var engines []*backend
 	var free uint64
 	for _, b := range c.groupCandidates(d, func(b *backend) bool { return c.candidate(b, d) }) {
 		if by := held[b]; by != nil && by != d {
 			continue
 		}
-		if m := c.freeMemory(b); m > 0 && free < need && len(chosen) < c.cfg.MaxGroup {
-			chosen = append(chosen, b)
+		if m := c.freeMemory(b); m > 0 && free < need && len(engines) < c.cfg.MaxGroup {
+			engines = append(engines, b)
 			free += m
 		}
 	}
-	if len(chosen) == 0 || (free < need && !c.off.allOr) {
+	if len(engines) == 0 || (free < need && !c.off.allOr) {
 		return nil
 	}
-	return c.split(d, chosen, free)
+	return c.split(d, engines, free)
 }
 
 // split divides a request over engines in proportion to their free memory. The
 // output stays with the last members.
-func (c *Core) split(d *dispatch, chosen []*backend, free uint64) []member {
-	members := make([]member, 0, len(chosen))
+func (c *Core) split(d *dispatch, engines []*backend, free uint64) []member {
+	members := make([]member, 0, len(engines))
 	need, prompt := d.tokens(), d.req.PromptTokens
-	for i, b := range chosen {
+	for i, b := range engines {
 		m := c.freeMemory(b)
 		// Rounded up, so that the rest fits into the remaining engines.
 		reserved := min(need, m, uint64(float64(d.tokens())*(float64(m)/float64(free)))+1)
-		if i == len(chosen)-1 {
+		if i == len(engines)-1 {
 			reserved = min(need, m)
 		}
 		part := min(prompt, reserved)
