--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -72,7 +72,7 @@
 	callers  *http.Server
 	announce *http.Server
 
-	// Addresses that are listened on, with ports chosen by the system.
+	// Addresses that are listened on, with the ports that the system assigned.
 	callerAddress, announceAddress string
 
 	// ctx ends when the process stops; abort ends when open requests must fail.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -160,10 +160,10 @@
 // exchanges with its cube.
 func (t *Table) Messages(addresses []string) map[string]*wirepb.PeerHeartbeat {
 	live := t.Live()
-	brief := &wirepb.PeerHeartbeat{
+	short := &wirepb.PeerHeartbeat{
 		Self: t.self.info(), ConfigIndex: t.self.ConfigIndex, ConfigDigest: t.self.ConfigDigest, KnownDigest: digest(live),
 	}
-	full := proto.CloneOf(brief)
+	full := proto.CloneOf(short)
 	for _, p := range live {
 		if p.ID != t.self.ID {
 			full.Known = append(full.Known, p.info())
@@ -171,7 +171,7 @@
 	}
 	same := map[string]bool{}
 	for _, r := range t.rows {
-		if r.live && r.knownDigest == brief.KnownDigest {
+		if r.live && r.knownDigest == short.KnownDigest {
 			same[r.peer.Address] = true
 		}
 	}
@@ -179,7 +179,7 @@
 	for _, address := range addresses {
 		out[address] = full
 		if same[address] {
-			out[address] = brief
+			out[address] = short
 		}
 	}
 	return out
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -2,7 +2,7 @@
 // dispatchers.
 //
 // The own failure domain is preferred, because the way is short and because it
-// works under a network partition. Another pool is chosen only when its expected
+// works under a network partition. Another pool is used only when its expected
 // wait is clearly smaller. Summaries are up to a second old, so the work sent
 // since then is added: otherwise all requests of that second go to the pool that
 // looked best.
