--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 SHELL := /bin/bash
 GO ?= go
 BIN := bin
-BINARIES := bilberry-entry bilberry-state bilberryctl bilberry-load bilberry-standin
+BINARIES := bilberry-gateway bilberry-control bilberry-entry bilberry-state bilberryctl bilberry-load bilberry-standin
 SEED ?= 1
 MINUTES ?= 1
 
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -62,6 +62,8 @@
 	EntryID string
 	// States are the addresses of the state processes.
 	States []string
+	// StatesNow, when set, returns the addresses known at the moment instead.
+	StatesNow func() []string
 	Wire   wire.Options
 	Log    *zap.Logger
 	// OnChange is called after each publication, one call at a time. It must
@@ -140,8 +142,12 @@
 	wg.Go(func() { s.pullLoop(ctx) })
 	// Entry processes start at different state processes, to spread the load.
 	start := xxhash.Sum64String(s.opts.EntryID)
-	for i := start; len(s.opts.States) > 0 && ctx.Err() == nil; i++ {
-		address := s.opts.States[i%uint64(len(s.opts.States))]
+	for i := start; ctx.Err() == nil; i++ {
+		states := s.states()
+		if len(states) == 0 {
+			break
+		}
+		address := states[i%uint64(len(states))]
 		err := s.follow(ctx, address)
 		s.mu.Lock()
 		s.state.connected = false
@@ -155,6 +161,13 @@
 	wg.Wait()
 }
 
+func (s *Syncer) states() []string {
+	if s.opts.StatesNow != nil {
+		return s.opts.StatesNow()
+	}
+	return s.opts.States
+}
+
 // offer publishes snap unless it is older than what is known. FromState marks
 // content that comes from the replicated log itself.
 func (s *Syncer) offer(snap *wirepb.ConfigSnapshot, source string, fromState bool) error {
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,350 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/exchange"
+	"bilberryhub/internal/fleet"
+	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/observe"
+)
+
+const (
+	// defaultMaxAttempts bounds the backend servers for one request where the
+	// route states nothing.
+	defaultMaxAttempts = 2
+	// maxAnswerBytes bounds the answer of a plain service.
+	maxAnswerBytes = 32 << 20
+	// answerMargin is kept of the deadline for the way of the final answer.
+	answerMargin = 20 * time.Millisecond
+	// minAttempt is the least time for which another attempt is worth it.
+	minAttempt = 30 * time.Millisecond
+)
+
+// verdict is how an attempt ended.
+type verdict int
+
+const (
+	// served: the caller has a whole answer.
+	served verdict = iota
+	// notRun: the request was not sent, or the backend server states that it has
+	// not run it.
+	notRun
+	// mayHaveRun: it was sent, and no whole answer came.
+	mayHaveRun
+	// answered: the backend server has answered with a failure, which is kept.
+	answered
+	// callerGone: the caller has left, or the deadline has passed.
+	callerGone
+)
+
+// attempt is one request at one backend server.
+type attempt struct {
+	g    *Gateway
+	r    *request
+	pick *pick
+	sent time.Duration
+	// kept is a whole answer that was no success.
+	kept *keptAnswer
+	err  error
+}
+
+// keptAnswer is an answer that is passed on if no better one comes.
+type keptAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run sends a request to backend servers until it is answered.
+func (g *Gateway) run(ctx context.Context, r *request) error {
+	g.budget.request(r.service.Name, bootclock.Now())
+	limit := r.route.MaxAttempts
+	if limit <= 0 {
+		limit = defaultMaxAttempts
+	}
+	var kept *keptAnswer
+	ran := false
+	var last error
+	for {
+		p, err := g.choose(r.version, r, r.service, r.tried)
+		if err != nil {
+			if kept != nil {
+				return g.passOn(r, kept)
+			}
+			return g.notChosen(r, err, ran)
+		}
+		r.attempts++
+		a := &attempt{g: g, r: r, pick: p}
+		v := a.run(ctx)
+		g.book.remove(append(p.helperJobs, p.job)...)
+		g.logAttempt(a, v)
+		switch v {
+		case served:
+			return nil
+		case callerGone:
+			return g.expired(ctx, r, ran || a.sent > 0, kept)
+		case answered:
+			kept, ran = a.kept, true
+		case mayHaveRun:
+			ran = true
+		}
+		last = a.err
+		r.tried = append(r.tried, p.backend.ID)
+		if !g.mayRepeat(r, v, limit, ran) {
+			break
+		}
+	}
+	if kept != nil {
+		return g.passOn(r, kept)
+	}
+	if ran {
+		return refuse(http.StatusBadGateway, "the outcome is unknown: %v", last)
+	}
+	return unavailable(g.backoff(r), "no backend server has run it: %v", last)
+}
+
+// mayRepeat reports whether a request may be sent to another backend server.
+func (g *Gateway) mayRepeat(r *request, v verdict, limit int, ran bool) bool {
+	switch {
+	case r.attempts >= limit:
+		return false
+	case ran && !r.route.Idempotent():
+		return false
+	case v == answered && r.route.Repeat == manifest.RepeatOnce:
+		return false
+	case r.deadline-bootclock.Now() < minAttempt+answerMargin:
+		return false
+	}
+	_, gateways := g.members.backends()
+	return g.budget.take(r.service.Name, gateways, bootclock.Now())
+}
+
+// notChosen returns the final answer of a request that found no backend server.
+func (g *Gateway) notChosen(r *request, err error, ran bool) error {
+	if ran {
+		return refuse(http.StatusBadGateway, "the outcome is unknown, and %v", errors.Cause(err))
+	}
+	return unavailable(g.backoff(r), "%v", errors.Cause(err))
+}
+
+// expired returns the final answer at the deadline, or of a caller that left.
+func (g *Gateway) expired(ctx context.Context, r *request, ran bool, kept *keptAnswer) error {
+	if errors.Is(r.http.Context().Err(), context.Canceled) && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		r.outcome, r.status = "caller left", statusCallerLeft
+		panic(http.ErrAbortHandler)
+	}
+	if kept != nil {
+		return g.passOn(r, kept)
+	}
+	if ran {
+		return refuse(http.StatusGatewayTimeout, "the deadline has passed")
+	}
+	return unavailable(g.backoff(r), "the deadline has passed before it was sent")
+}
+
+// statusCallerLeft stands for the missing answer in logs and metrics.
+const statusCallerLeft = 499
+
+// backoff is when a refused caller should come back: about the time in which a
+// slot becomes free, spread so that callers do not return together.
+func (g *Gateway) backoff(r *request) time.Duration {
+	left := r.deadline - bootclock.Now()
+	d := time.Duration((0.5 + g.random()) * float64(backoffMean))
+	return max(10*time.Millisecond, min(d, left/3))
+}
+
+// backoffMean is the mean time after which a refused caller comes back: about
+// the time of a short generation.
+const backoffMean = time.Second
+
+// run carries out one attempt.
+func (a *attempt) run(ctx context.Context) verdict {
+	g, r := a.g, a.r
+	now := bootclock.Now()
+	left := r.deadline - now - answerMargin
+	if left < minAttempt/2 {
+		return callerGone
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	// A backend server that is silent for long has to be told apart from one that
+	// works; the timer ends an attempt without progress.
+	silence := newWatch(cancel, a.firstEventLimit())
+	defer silence.stop()
+	a.sent = now
+	answer, err := g.exchanges.Do(ctx, exchange.Request{
+		Address: a.pick.backend.Address, Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
+		Header: g.dialect.EncodeDispatch(r.http, r.caller, a.dispatch(left)), Body: r.body,
+		Fresh: !r.route.Idempotent(),
+		Mine:  func(h http.Header) bool { return g.dialect.Mine(h, r.caller.ID) },
+	})
+	if err != nil {
+		return a.noAnswer(err, silence)
+	}
+	defer answer.Close()
+	info := g.dialect.DecodeAnswer(answer.Status, answer.Header)
+	if info.NotRun {
+		return a.refused(answer, info)
+	}
+	r.backend = a.pick.backend.ID
+	if r.route.Repeat == manifest.RepeatStream && answer.Status == http.StatusOK {
+		return a.relay(answer, silence)
+	}
+	return a.whole(answer, silence)
+}
+
+func (a *attempt) dispatch(left time.Duration) Dispatch {
+	d := Dispatch{
+		BackendServer: a.pick.backend.ID, WaitFor: left, LastEvent: a.r.caller.LastEvent, Urgency: a.r.urgency(),
+	}
+	if a.r.account != nil {
+		d.Account = a.r.account.Name
+	}
+	for _, h := range a.pick.helpers {
+		d.Helpers = append(d.Helpers, h.Address)
+	}
+	return d
+}
+
+// urgency orders requests at a backend server: those with little time first.
+func (r *request) urgency() int {
+	if r.caller.PromptTokens == 0 {
+		return -1
+	}
+	switch o := r.route.ObjectiveMs; {
+	case o <= 0:
+		return -1
+	case o <= shortObjectiveMs:
+		return 2
+	case o <= mediumObjectiveMs:
+		return 4
+	}
+	return 5
+}
+
+// Objectives up to these are served first and second.
+const (
+	shortObjectiveMs  = 700
+	mediumObjectiveMs = 2_000
+)
+
+// noAnswer judges an exchange that failed.
+func (a *attempt) noAnswer(err error, silence *watch) verdict {
+	a.err = err
+	now := bootclock.Now()
+	switch {
+	case errors.Is(err, exchange.ErrNotSent):
+		a.sent = 0
+		if a.r.http.Context().Err() != nil {
+			return callerGone
+		}
+		a.g.health.note(a.pick.job.backend, outcomeUnreachable, now)
+		return notRun
+	case silence.fired():
+		a.g.health.note(a.pick.job.backend, outcomeUnreachable, now)
+		return mayHaveRun
+	case a.r.http.Context().Err() != nil || a.r.deadline-now <= answerMargin:
+		return callerGone
+	}
+	a.g.health.note(a.pick.job.backend, outcomeFailed, now)
+	return mayHaveRun
+}
+
+// refused handles the statement that the request has not run.
+func (a *attempt) refused(answer *exchange.Answer, info AnswerInfo) verdict {
+	_, err := answer.ReadAll(maxAnswerBytes)
+	a.err = errors.Errorf("%s refused with status %d", a.pick.backend.ID, answer.Status)
+	if err != nil {
+		a.g.log.Debug("refusal not read", observe.Error(err))
+	}
+	now := bootclock.Now()
+	if h := a.atFault(info.AtFault); h != nil {
+		a.g.health.note(h.Key(), outcomeUnreachable, now)
+		return notRun
+	}
+	if answer.Status == http.StatusMisdirectedRequest {
+		a.g.health.note(a.pick.job.backend, outcomeUnreachable, now)
+		return notRun
+	}
+	a.g.health.note(a.pick.job.backend, outcomeBusy, now)
+	return notRun
+}
+
+// atFault returns the helper that an answer names, or nil.
+func (a *attempt) atFault(name string) *fleet.BackendServer {
+	for _, h := range a.pick.helpers {
+		if name != "" && (h.ID == name || h.Address == name) {
+			return h
+		}
+	}
+	return nil
+}
+
+// whole reads an answer that is no stream and passes a success on.
+func (a *attempt) whole(answer *exchange.Answer, silence *watch) verdict {
+	body, err := answer.ReadAll(maxAnswerBytes)
+	now := bootclock.Now()
+	if err != nil {
+		a.err = err
+		if a.r.http.Context().Err() != nil || (a.r.deadline-now <= answerMargin && !silence.fired()) {
+			return callerGone
+		}
+		a.g.health.note(a.pick.job.backend, outcomeFailed, now)
+		return mayHaveRun
+	}
+	kept := &keptAnswer{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status >= http.StatusInternalServerError {
+		a.g.health.note(a.pick.job.backend, outcomeFailed, now)
+		a.kept, a.err = kept, errors.Errorf("%s answered with status %d", a.pick.backend.ID, answer.Status)
+		return answered
+	}
+	a.g.health.note(a.pick.job.backend, outcomeServed, now)
+	if err := a.g.passOn(a.r, kept); err != nil {
+		a.err = err
+		return callerGone
+	}
+	return served
+}
+
+// passOn sends an answer of a backend server to the caller, unchanged.
+func (g *Gateway) passOn(r *request, k *keptAnswer) error {
+	if r.status != 0 {
+		return errors.New("the answer has begun with another one")
+	}
+	h := r.w.Header()
+	for name, values := range g.dialect.AnswerHeader(k.header) {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// Keeps net/http from guessing one.
+		h["Content-Type"] = nil
+	}
+	h.Set("Content-Length", strconv.Itoa(len(k.body)))
+	r.status, r.outcome = k.status, "passed on"
+	r.w.WriteHeader(k.status)
+	_, err := r.w.Write(k.body)
+	return errors.Annotate(err, "write answer")
+}
+
+func (g *Gateway) logAttempt(a *attempt, v verdict) {
+	names := [...]string{"served", "not run", "may have run", "answered with a failure", "caller gone"}
+	helpers := make([]string, 0, len(a.pick.helpers))
+	for _, h := range a.pick.helpers {
+		helpers = append(helpers, h.ID)
+	}
+	now := bootclock.Now()
+	g.log.Info("attempt ended", zap.String("request_id", a.r.caller.ID), zap.Int("attempt", a.r.attempts),
+		zap.String("backend_server", a.pick.backend.ID), zap.String("outcome", names[v]), zap.Strings("helpers", helpers),
+		zap.Float64("predicted_ms", a.pick.predictedMs), zap.Int64("prompt_tokens", a.r.caller.PromptTokens),
+		zap.Int("open_there", a.pick.open), zap.Float64("slowness", a.pick.slowness), zap.Int("candidates", a.pick.candidates),
+		zap.Duration("announced_ago", now-a.pick.backend.SeenAt), zap.Uint64("config_index", a.r.version.Index),
+		zap.Duration("config_age", a.r.configAge), zap.Float64("took_ms", ms(now-a.pick.job.sent)), observe.Error(a.err))
+}
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/config"
+	"bilberryhub/internal/enginemodel"
+	"bilberryhub/internal/fleet"
+	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/placement"
+)
+
+// Reasons why no backend server was chosen.
+var (
+	errNoBackend = errors.New("no backend server is in service")
+	errTooLarge  = errors.New("no backend server can hold the request")
+	errFull      = errors.New("all backend servers are busy beyond the time that the caller waits")
+)
+
+const (
+	// silenceAnnouncements is the number of missed announcements after which a
+	// backend server is used only when there is nothing else. Announcements are
+	// late by seconds at times.
+	silenceAnnouncements = 4
+	// avoidRisk is the share of its worth that a request risks at a backend server
+	// that should be avoided.
+	avoidRisk = 0.9
+	// defaultPlainSlots is assumed where a backend server states no slots.
+	defaultPlainSlots = 8
+	// defaultOutputTokens is assumed where a caller states none.
+	defaultOutputTokens = 512
+	// coldShare is the share of the cold rate that all gateways use together.
+	coldShare = 1.0
+)
+
+// pick is a decision: where a request runs.
+type pick struct {
+	backend *fleet.BackendServer
+	helpers []*fleet.BackendServer
+	// predictedMs is the predicted time to the first event; 0 for plain services.
+	predictedMs float64
+	job         *job
+	helperJobs  []*job
+	open        int
+	candidates  int
+	slowness    float64
+}
+
+// candidate is a backend server that may be chosen.
+type candidate struct {
+	row   *fleet.BackendServer
+	key   uint64
+	judge judgement
+	works []enginemodel.Work
+}
+
+// choose picks a backend server for a request and enters its work. Excluded are
+// backend servers, by id, that have been tried.
+func (g *Gateway) choose(v *config.Version, r *request, service *manifest.RoutedService, excluded []string) (*pick, error) {
+	rows, gateways := g.members.backends()
+	g.book.mu.Lock()
+	defer g.book.mu.Unlock()
+	now := bootclock.Now()
+	works := g.book.works(now)
+	var list []candidate
+	for _, b := range rows {
+		if b.Service != service.Name || !b.Usable() || slices.Contains(excluded, b.ID) {
+			continue
+		}
+		if out, _ := v.Excluded(b.FailureDomain, b.ID); out {
+			continue
+		}
+		key := b.Key()
+		if now < b.ColdUntil && service.ColdPerSecond > 0 && !g.book.coldRoom(key, coldLimit(service, gateways), now) {
+			continue
+		}
+		silence := silenceAnnouncements * milliseconds(g.settings.AnnounceMs)
+		list = append(list, candidate{row: b, key: key, judge: g.health.judge(b, key, now, silence), works: works[key]})
+	}
+	if len(list) == 0 {
+		return nil, errNoBackend
+	}
+	var p *pick
+	var err error
+	if service.Engine != nil && r.caller.PromptTokens > 0 {
+		p, err = g.chooseEngine(r, service, list, now)
+	} else {
+		p, err = g.choosePlain(r, list, now)
+	}
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	p.candidates = len(list)
+	g.book.enter(p.job)
+	for _, h := range p.helperJobs {
+		g.book.enter(h)
+	}
+	if now < p.backend.ColdUntil {
+		g.book.sends[p.job.backend] = append(g.book.sends[p.job.backend], now)
+	}
+	return p, nil
+}
+
+// coldLimit is the part of one gateway in the requests that a cold backend
+// server bears in a second.
+func coldLimit(s *manifest.RoutedService, gateways int) int {
+	return max(1, int(coldShare*s.ColdPerSecond/float64(gateways)))
+}
+
+// choosePlain picks the backend server with the least work for its slots.
+func (g *Gateway) choosePlain(r *request, list []candidate, now time.Duration) (*pick, error) {
+	best, cost := -1, math.Inf(1)
+	for i, c := range list {
+		slots := float64(c.row.Slots)
+		if slots <= 0 {
+			slots = defaultPlainSlots
+		}
+		x := float64(len(c.works))/slots + 2*c.judge.failureShare + g.random()/1000
+		if c.judge.avoid {
+			x += avoidRisk * 10
+		}
+		if c.row.FailureDomain != g.settings.FailureDomain {
+			x += 0.1 / slots
+		}
+		if now < c.row.ColdUntil {
+			x += 0.5
+		}
+		if x < cost {
+			best, cost = i, x
+		}
+	}
+	c := list[best]
+	return &pick{
+		backend: c.row, open: len(c.works),
+		job: &job{backend: c.key, sent: now, work: enginemodel.Work{SentMs: ms(now)}},
+	}, nil
+}
+
+// chooseEngine places a model request.
+func (g *Gateway) chooseEngine(r *request, service *manifest.RoutedService, list []candidate, now time.Duration) (*pick, error) {
+	spec := service.Engine
+	req := r.placement(now)
+	engines := make([]placement.Engine, 0, len(list))
+	for i, c := range list {
+		e := placement.Engine{
+			Index: i, Slots: max(1, c.row.Slots), Far: c.row.FailureDomain != g.settings.FailureDomain,
+			Load: enginemodel.NewLoad(spec, c.works, ms(now), c.judge.slowness),
+			Risk: c.judge.failureShare * req.Worth, Cold: now < c.row.ColdUntil,
+		}
+		if c.judge.avoid {
+			e.Risk = max(e.Risk, avoidRisk*req.Worth)
+		}
+		engines = append(engines, e)
+	}
+	if req.PromptTokens+req.OutputTokens > float64(spec.CapacityTokens) {
+		return nil, errTooLarge
+	}
+	choice, ok := placement.Choose(spec, req, engines, ms(now))
+	if !ok {
+		return nil, errFull
+	}
+	if choice.FirstEventMs > req.AbandonMs {
+		return nil, errFull
+	}
+	parts := float64(1 + len(choice.Helpers))
+	first := list[choice.First]
+	work := enginemodel.Work{
+		SentMs: ms(now), PromptTokens: req.PromptTokens, PartTokens: req.PromptTokens / parts,
+		OutputTokens: req.OutputTokens, PauseMs: r.route.PauseMs, ObjectiveMs: r.route.ObjectiveMs, Worth: req.Worth,
+	}
+	p := &pick{
+		backend: first.row, predictedMs: choice.FirstEventMs, open: len(first.works), slowness: first.judge.slowness,
+		job: &job{backend: first.key, sent: now, work: work},
+	}
+	work.Helper = true
+	for _, i := range choice.Helpers {
+		p.helpers = append(p.helpers, list[i].row)
+		p.helperJobs = append(p.helperJobs, &job{backend: list[i].key, sent: now, work: work})
+	}
+	return p, nil
+}
+
+// placement returns the request in the terms of the placement.
+func (r *request) placement(now time.Duration) placement.Request {
+	prompt := float64(r.caller.PromptTokens)
+	output := float64(r.outputTokens())
+	elapsed := ms(now - r.arrived)
+	req := placement.Request{
+		PromptTokens: prompt, OutputTokens: output, Worth: placement.Worth(prompt, output),
+		ObjectiveMs: max(1, r.route.ObjectiveMs-elapsed), AbandonMs: r.abandonMs() - elapsed,
+	}
+	return req
+}
+
+// outputTokens estimates the tokens of the answer.
+func (r *request) outputTokens() int64 {
+	if r.caller.OutputTokens > 0 {
+		return r.caller.OutputTokens
+	}
+	return defaultOutputTokens
+}
+
+// worthOf estimates the worth of work that another gateway has shared.
+func worthOf(w enginemodel.Work) float64 {
+	return placement.Worth(w.PromptTokens, w.OutputTokens)
+}
--- /dev/null
+++ b/internal/gateway/dump.go
@@ -0,0 +1,29 @@
+package gateway
+
+import "bilberryhub/internal/bootclock"
+
+// jobDump is one running request in the state dump.
+type jobDump struct {
+	Backend      uint64  `json:"backend"`
+	AgeMs        float64 `json:"age_ms"`
+	PromptTokens float64 `json:"prompt_tokens"`
+	Writing      bool    `json:"writing"`
+	Helper       bool    `json:"helper"`
+}
+
+// dump returns the state dump.
+func (g *Gateway) dump() (any, error) {
+	rows, gateways := g.members.backends()
+	g.book.mu.Lock()
+	defer g.book.mu.Unlock()
+	now := bootclock.Now()
+	jobs := []jobDump{}
+	for j := range g.book.own {
+		jobs = append(jobs, jobDump{j.backend, ms(now - j.sent), j.work.PromptTokens, j.work.Writing, j.work.Helper})
+	}
+	return map[string]any{
+		"id": g.settings.ID, "failure_domain": g.settings.FailureDomain, "incarnation": g.incarnation,
+		"ready": g.notReady() == "", "open_requests": g.open.Load(), "gateways": gateways,
+		"backend_servers": rows, "jobs": jobs, "config": g.sync.Status(),
+	}, nil
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/config"
+	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/observe"
+)
+
+const (
+	// Callers of a stream leave after a gap of the longest of these: abandonFloor,
+	// abandonObjectives times the objective, abandonPauses times the pause.
+	abandonFloor      = 2 * time.Second
+	abandonObjectives = 4
+	abandonPauses     = 8
+	// stateLimit is how old the proof of the configuration may be for a refusal
+	// that says what the configuration does not allow.
+	stateLimit = 2 * time.Second
+	// defaultMaxBodyBytes bounds a body where the manifest states no limit.
+	defaultMaxBodyBytes = 4 << 20
+)
+
+var requestSeconds = metrics.GetOrCreateHistogram(`bilberry_gateway_request_seconds`)
+
+// request is one request of a caller.
+type request struct {
+	http    *http.Request
+	w       http.ResponseWriter
+	caller  CallerRequest
+	version *config.Version
+	route   *manifest.Route
+	account *manifest.RoutingAccount
+	service *manifest.RoutedService
+	body    []byte
+	arrived time.Duration
+	// deadline is when the final answer is due.
+	deadline time.Duration
+	// configAge is the age of the proof of the configuration at the admission.
+	configAge time.Duration
+
+	attempts int
+	tried    []string
+	outcome  string
+	status   int
+	backend  string
+	events   int
+	firstMs  float64
+}
+
+// abandonMs is how long the caller waits for the first event.
+func (r *request) abandonMs() float64 {
+	limit := ms(r.deadline - r.arrived)
+	if r.route.Repeat != manifest.RepeatStream {
+		return limit
+	}
+	return min(limit, max(ms(abandonFloor), abandonObjectives*r.route.ObjectiveMs, abandonPauses*r.route.PauseMs))
+}
+
+// refusal is a final answer of the gateway itself.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+func (r *refusal) Error() string { return r.reason }
+
+func refuse(status int, format string, args ...any) *refusal {
+	return &refusal{status: status, reason: fmt.Sprintf(format, args...)}
+}
+
+// unavailable is a refusal of a request that has not run and will not run.
+func unavailable(retryAfter time.Duration, format string, args ...any) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: fmt.Sprintf(format, args...), retryAfter: retryAfter}
+}
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	r := &request{http: hr, w: w, arrived: bootclock.Now()}
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	defer g.finish(r)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := g.admit(r); err != nil {
+		g.answerError(r, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(hr.Context(), r.deadline-bootclock.Now())
+	defer cancel()
+	if err := g.run(ctx, r); err != nil {
+		g.answerError(r, err)
+	}
+}
+
+// finish logs the end of a request.
+func (g *Gateway) finish(r *request) {
+	took := bootclock.Now() - r.arrived
+	requestSeconds.Update(took.Seconds())
+	outcomes(r.status, r.outcome).Inc()
+	routeName, account := "", ""
+	if r.route != nil {
+		routeName = r.route.Name
+	}
+	if r.account != nil {
+		account = r.account.Name
+	}
+	g.log.Info("request ended", zap.String("request_id", r.caller.ID), zap.String("route", routeName),
+		zap.String("account", account), zap.Int("status", r.status), zap.String("outcome", r.outcome),
+		zap.Int("attempts", r.attempts), zap.String("backend_server", r.backend), zap.Int("events", r.events),
+		zap.Float64("first_event_ms", r.firstMs), zap.Float64("took_ms", ms(took)))
+}
+
+func outcomes(status int, outcome string) *metrics.Counter {
+	kind, _, _ := strings.Cut(outcome, ":")
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`bilberry_gateway_requests_total{status="%d",outcome=%q}`, status, kind))
+}
+
+// admit decides whether a request may be served, and reads it.
+func (g *Gateway) admit(r *request) error {
+	caller, err := g.dialect.DecodeCaller(r.http)
+	if err != nil {
+		return refuse(http.StatusBadRequest, "bad request: %v", err)
+	}
+	r.caller = caller
+	r.version = g.sync.Current()
+	r.configAge = g.sync.Age(bootclock.Time())
+	if r.version == nil || r.version.Manifest == nil || r.version.Manifest.Routing == nil {
+		return unavailable(retryAfterStart, "no configuration is known yet")
+	}
+	if err := g.route(r); err != nil {
+		return err
+	}
+	r.deadline = r.arrived + milliseconds(r.route.TimeoutMs)
+	if caller.WaitFor > 0 {
+		r.deadline = min(r.deadline, r.arrived+caller.WaitFor)
+	}
+	return g.readBody(r)
+}
+
+// retryAfterStart is how long callers should wait for a process that is still
+// learning: state processes send everything at once after the connection.
+const retryAfterStart = 300 * time.Millisecond
+
+// route finds the route and the account of a request.
+func (g *Gateway) route(r *request) error {
+	routing := r.version.Manifest.Routing
+	path, _, _ := strings.Cut(r.http.RequestURI, "?")
+	proven := r.configAge <= stateLimit
+	r.route = routing.Match(hostOnly(r.http.Host), path)
+	if r.route == nil {
+		if !proven {
+			return unavailable(retryAfterStart, "no route matches in a configuration that is %s old", r.configAge)
+		}
+		return refuse(http.StatusNotFound, "no route matches")
+	}
+	lease := g.settings.keyLease()
+	needsKey := len(routing.Accounts) > 0 && !r.route.Anonymous
+	if lease > 0 && r.configAge > lease && (needsKey || r.caller.Key != "") {
+		return unavailable(retryAfterStart, "keys cannot be checked: the configuration is %s old", r.configAge)
+	}
+	if r.caller.Key != "" {
+		r.account = routing.AccountByKey(r.caller.Key)
+	}
+	if r.account == nil && needsKey {
+		if !proven {
+			return unavailable(retryAfterStart, "the key is unknown in a configuration that is %s old", r.configAge)
+		}
+		return refuse(http.StatusUnauthorized, "unknown key")
+	}
+	r.service = g.target(routing, r.route)
+	if r.service == nil {
+		return unavailable(retryAfterStart, "the route has no service")
+	}
+	return nil
+}
+
+// target draws one of the services of a route by weight.
+func (g *Gateway) target(routing *manifest.Routing, route *manifest.Route) *manifest.RoutedService {
+	sum := 0.0
+	for _, t := range route.Targets {
+		sum += t.Weight
+	}
+	x := g.random() * sum
+	for _, t := range route.Targets {
+		if x -= t.Weight; x < 0 && t.Weight > 0 {
+			return routing.Service(t.Service)
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) readBody(r *request) error {
+	limit := r.version.Manifest.Routing.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	_ = http.NewResponseController(r.w).SetReadDeadline(time.Now().Add(r.deadline - bootclock.Now()))
+	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.http.Body, limit))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return refuse(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", limit)
+		}
+		return refuse(http.StatusBadRequest, "the body breaks off: %v", err)
+	}
+	_ = http.NewResponseController(r.w).SetReadDeadline(time.Time{})
+	r.body = body
+	return nil
+}
+
+func hostOnly(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		return host[:i]
+	}
+	return host
+}
+
+// answerError sends the final answer of a request that was not served. An
+// answer that has begun is broken off, so that it does not look complete.
+func (g *Gateway) answerError(r *request, err error) {
+	if r.events > 0 || r.status != 0 {
+		r.outcome = "broken off: " + err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	var f *refusal
+	if !errors.As(err, &f) {
+		f = refuse(http.StatusBadGateway, "%v", err)
+	}
+	r.status, r.outcome = f.status, "refused: "+f.reason
+	h := r.w.Header()
+	h.Set("Content-Type", "application/json")
+	g.dialect.EncodeRefusal(h, r.caller.ID)
+	run := "unknown"
+	switch f.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized, http.StatusNotFound,
+		http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		run = "no"
+	}
+	if f.status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", fmt.Sprintf("%.3f", max(f.retryAfter, 10*time.Millisecond).Seconds()))
+	}
+	r.w.WriteHeader(f.status)
+	if _, werr := fmt.Fprintf(r.w, "{\"error\":{\"message\":%q,\"run\":%q}}\n", f.reason, run); werr != nil {
+		g.log.Debug("refusal not written", zap.String("request_id", r.caller.ID), observe.Error(werr))
+	}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	_ "embed"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"bilberryhub/internal/control"
+	"bilberryhub/internal/settings"
+)
+
+//go:embed settings.json
+var schema []byte
+
+// Settings of a gateway process.
+type Settings struct {
+	// ID names the process; unique over the system.
+	ID            string `json:"id"`
+	FailureDomain string `json:"failure_domain"`
+	// CallerListen is where callers connect, ReadyListen where the balancer asks
+	// whether new connections are welcome.
+	CallerListen string `json:"caller_listen"`
+	ReadyListen  string `json:"ready_listen"`
+	// ShareListen is the address of the datagrams between gateways.
+	ShareListen string `json:"share_listen"`
+	AdminListen string `json:"admin_listen"`
+	// States are the addresses of some state processes; the others are learnt
+	// from them.
+	States []string `json:"states"`
+	// StatePort replaces the port of the addresses in States; 0 keeps it.
+	StatePort int    `json:"state_port"`
+	LogLevel  string `json:"log_level"`
+
+	// RevokeMs is the time within which a key that was taken away must not be
+	// accepted any more, even by a process that is cut off; 0 switches the limit
+	// off.
+	RevokeMs int64 `json:"revoke_ms"`
+	// GraceSeconds is the time between the order to stop and the end by force.
+	GraceSeconds float64 `json:"grace_seconds"`
+	// RetryRatio and RetrySlack bound the requests that are sent again, over all
+	// gateways and in each window of RetryWindowSeconds: ratio times the requests of
+	// the service plus the slack.
+	RetryRatio         float64 `json:"retry_ratio"`
+	RetrySlack         float64 `json:"retry_slack"`
+	RetryWindowSeconds float64 `json:"retry_window_seconds"`
+	// AnnounceMs is the interval between two announcements of a backend server.
+	AnnounceMs int64 `json:"announce_ms"`
+	// MemoryMB bounds the process; 0 means no bound.
+	MemoryMB int64 `json:"memory_mb"`
+	// MaxFiles bounds the open descriptors; 0 means the default.
+	MaxFiles int `json:"max_files"`
+}
+
+// Defaults of optional settings.
+const (
+	defaultGraceSeconds       = 8
+	defaultRetryRatio         = 0.1
+	defaultRetryWindowSeconds = 10
+	defaultAnnounceMs         = 1_000
+	defaultMaxFiles           = 4_096
+)
+
+// LoadSettings reads and checks the settings file at path.
+func LoadSettings(path string) (Settings, error) {
+	s := Settings{
+		LogLevel: "info", GraceSeconds: defaultGraceSeconds, RetryRatio: defaultRetryRatio,
+		RetryWindowSeconds: defaultRetryWindowSeconds, AnnounceMs: defaultAnnounceMs, MaxFiles: defaultMaxFiles,
+	}
+	if err := settings.Load(path, schema, &s); err != nil {
+		return s, errors.Trace(err)
+	}
+	return s, errors.Annotatef(s.check(), "settings %s", path)
+}
+
+func (s *Settings) check() error {
+	addresses := map[string]string{
+		"/caller_listen": s.CallerListen, "/ready_listen": s.ReadyListen,
+		"/share_listen": s.ShareListen, "/admin_listen": s.AdminListen,
+	}
+	for path, a := range addresses {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return errors.Errorf("at %s: %v", path, err)
+		}
+	}
+	var err error
+	s.States, err = control.PeerAddresses(s.States, s.StatePort)
+	return errors.Annotate(err, "at /states")
+}
+
+// revokeShare is the share of RevokeMs for which a confirmed configuration may
+// be used: the rest covers the time between the check of a key and the dispatch.
+const revokeShare = 0.8
+
+// keyLease is how long keys are accepted after the last proof that the
+// configuration here is the newest; 0 means without limit.
+func (s *Settings) keyLease() time.Duration {
+	return time.Duration(float64(s.RevokeMs)*revokeShare) * time.Millisecond
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -55,6 +55,9 @@
 	// IsolatedServingSeconds is nil in documents that leave it out; use
 	// IsolatedServing.
 	IsolatedServingSeconds *int `json:"isolated_serving_seconds,omitempty"`
+	// Routing is the part that gateways serve; nil where entry processes serve
+	// the services above.
+	Routing *Routing `json:"routing,omitempty"`
 
 	hash  Hash
 	index index
@@ -146,6 +149,7 @@
 	faults = append(faults, m.checkNames()...)
 	faults = append(faults, m.checkServices()...)
 	faults = append(faults, m.checkReferences()...)
+	faults = append(faults, m.Routing.check()...)
 	if decodeErr != nil && len(faults) == 0 {
 		faults = append(faults, Fault{Message: decodeErr.Error()})
 	}
@@ -157,6 +161,7 @@
 	}
 	m.setDefaults()
 	m.index = newIndex(m)
+	m.Routing.prepare()
 	return m, nil
 }
 
--- /dev/null
+++ b/internal/manifest/routing.go
@@ -0,0 +1,215 @@
+package manifest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+)
+
+// Repeat says whether the requests of a route may run more than once.
+type Repeat string
+
+// The kinds of routes.
+const (
+	// RepeatSafe requests may run any number of times.
+	RepeatSafe Repeat = "safe"
+	// RepeatOnce requests run at most once.
+	RepeatOnce Repeat = "once"
+	// RepeatStream requests are answered by a stream of events. They run at most
+	// once unless the route is resumable.
+	RepeatStream Repeat = "stream"
+)
+
+// Routing is the desired state of gateways: routes by host and path prefix to
+// weighted services, and the keys of client accounts.
+type Routing struct {
+	Routes   []Route          `json:"routes"`
+	Services []RoutedService  `json:"services"`
+	Accounts []RoutingAccount `json:"accounts,omitempty"`
+	Limits   CallerLimits     `json:"limits"`
+	// Source is the document that the manifest was translated from; it is
+	// returned to operators as it was sent.
+	Source string `json:"source,omitempty"`
+
+	byHost  map[string][]*Route
+	service map[string]*RoutedService
+	byKey   map[string]*RoutingAccount
+}
+
+// Route is one path prefix of one host.
+type Route struct {
+	Name string `json:"name"`
+	Host string `json:"host"`
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string `json:"path_prefix"`
+	Repeat     Repeat `json:"repeat"`
+	// TimeoutMs bounds the time to the end of the answer.
+	TimeoutMs int64 `json:"timeout_ms"`
+	// ObjectiveMs is the latency objective: to the answer, or to the first event
+	// of a stream.
+	ObjectiveMs float64 `json:"objective_ms,omitempty"`
+	// PauseMs is the objective for the longest pause between two events.
+	PauseMs  float64  `json:"pause_ms,omitempty"`
+	Priority int      `json:"priority,omitempty"`
+	Targets  []Target `json:"targets"`
+	// MaxAttempts bounds the backend servers that one request is sent to.
+	MaxAttempts int  `json:"max_attempts,omitempty"`
+	Anonymous   bool `json:"anonymous,omitempty"`
+	// Resumable streams may go on at another backend server.
+	Resumable bool `json:"resumable,omitempty"`
+}
+
+// Idempotent reports whether a request may run on a second backend server.
+func (r *Route) Idempotent() bool {
+	return r.Repeat == RepeatSafe || (r.Repeat == RepeatStream && r.Resumable)
+}
+
+// Target is a service with its share of the route's requests.
+type Target struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// RoutedService describes the backend servers of one service.
+type RoutedService struct {
+	Name           string `json:"name"`
+	HealthPath     string `json:"health_path,omitempty"`
+	MaxConnections int    `json:"max_connections,omitempty"`
+	// ColdStartMs is how long a backend server stays cold after its start.
+	ColdStartMs float64 `json:"cold_start_ms,omitempty"`
+	// ColdPerSecond is the rate of requests that a cold one can bear; 0 where it
+	// has no limit.
+	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
+	Engine        *Engine `json:"engine,omitempty"`
+}
+
+// Engine describes the timing of a model engine.
+type Engine struct {
+	Slots          int   `json:"slots"`
+	CapacityTokens int64 `json:"capacity_tokens"`
+	// StepMs is the base time of a step, which makes one token for each writer.
+	StepMs float64 `json:"step_ms"`
+	// PerSequenceMs is added to a step for each writer.
+	PerSequenceMs float64 `json:"per_sequence_ms"`
+	// ContextMsPerThousand is added to a step for 1,000 tokens of context.
+	ContextMsPerThousand float64 `json:"context_ms_per_thousand"`
+	ReadTokensPerSecond  float64 `json:"read_tokens_per_second"`
+	// PairsMsPerMillion is the reading time for a million pairs of a token and
+	// any earlier one.
+	PairsMsPerMillion float64 `json:"pairs_ms_per_million"`
+	// ChunkTokens bounds what is read in one step.
+	ChunkTokens int64 `json:"chunk_tokens"`
+	// Stride is the number of steps of a pass with writers.
+	Stride int     `json:"stride"`
+	HopMs  float64 `json:"hop_ms"`
+	// UsualPromptTokens and UsualAnswerTokens are means.
+	UsualPromptTokens float64 `json:"usual_prompt_tokens,omitempty"`
+	UsualAnswerTokens float64 `json:"usual_answer_tokens,omitempty"`
+}
+
+// RoutingAccount is a client account with the digests of its keys.
+type RoutingAccount struct {
+	Name      string   `json:"name"`
+	KeySHA256 []string `json:"key_sha256"`
+	// Priority takes precedence over the route's; nil where none is stated.
+	Priority *int `json:"priority,omitempty"`
+}
+
+// CallerLimits bound what callers may send; zero means the default.
+type CallerLimits struct {
+	MaxHeaderBytes  int   `json:"max_header_bytes,omitempty"`
+	MaxBodyBytes    int64 `json:"max_body_bytes,omitempty"`
+	HeaderTimeoutMs int64 `json:"header_timeout_ms,omitempty"`
+	IdleTimeoutMs   int64 `json:"idle_timeout_ms,omitempty"`
+}
+
+// check returns the faults that the schema cannot express.
+func (r *Routing) check() []Fault {
+	if r == nil {
+		return nil
+	}
+	var services, places, accounts, keys names
+	for i, s := range r.Services {
+		services.add(s.Name, pointer("routing", "services", i, "name"), "service name")
+	}
+	var faults []Fault
+	for i, route := range r.Routes {
+		at := pointer("routing", "routes", i)
+		places.add(strings.ToLower(route.Host)+" "+route.PathPrefix, at, "host and path prefix")
+		faults = append(faults, route.checkTargets(at, services.first)...)
+	}
+	for i, a := range r.Accounts {
+		accounts.add(a.Name, pointer("routing", "accounts", i, "name"), "account name")
+		for j, key := range a.KeySHA256 {
+			keys.add(key, pointer("routing", "accounts", i, "key_sha256", j), "key")
+		}
+	}
+	for _, n := range []names{services, places, accounts, keys} {
+		faults = append(faults, n.faults...)
+	}
+	return faults
+}
+
+func (r *Route) checkTargets(at string, services map[string]string) []Fault {
+	var faults []Fault
+	sum := 0.0
+	for _, t := range r.Targets {
+		sum += t.Weight
+		if _, ok := services[t.Service]; !ok {
+			faults = append(faults, Fault{at + "/targets", "no service named " + t.Service})
+		}
+	}
+	if sum <= 0 {
+		faults = append(faults, Fault{at + "/targets", "the weights add up to 0"})
+	}
+	return faults
+}
+
+// prepare builds the lookups.
+func (r *Routing) prepare() {
+	if r == nil {
+		return
+	}
+	r.byHost = map[string][]*Route{}
+	r.service = map[string]*RoutedService{}
+	r.byKey = map[string]*RoutingAccount{}
+	for i := range r.Routes {
+		route := &r.Routes[i]
+		host := strings.ToLower(route.Host)
+		r.byHost[host] = append(r.byHost[host], route)
+	}
+	for _, routes := range r.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	for i := range r.Services {
+		r.service[r.Services[i].Name] = &r.Services[i]
+	}
+	for i := range r.Accounts {
+		for _, key := range r.Accounts[i].KeySHA256 {
+			r.byKey[key] = &r.Accounts[i]
+		}
+	}
+}
+
+// Match returns the route with the longest prefix of path at host, or nil.
+func (r *Routing) Match(host, path string) *Route {
+	for _, route := range r.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (r *Routing) Service(name string) *RoutedService { return r.service[name] }
+
+// AccountByKey returns the account that holds a key, or nil.
+func (r *Routing) AccountByKey(key string) *RoutingAccount { return r.byKey[KeyDigest(key)] }
+
+// KeyDigest returns the SHA-256 of a key in lower-case hex.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,190 @@
+// Package placement decides which engine, and with how many helpers, runs a
+// model request.
+//
+// Every gateway decides alone, on the work that it and the others have sent.
+// The decision is greedy on predicted worth: what the request loses where its
+// first event comes late, and what the requests that are already at an engine
+// lose by the read. Short requests are packed onto engines that serve short
+// requests already, so that others stay free of writers whose pauses a long
+// read would break. The package is pure.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"bilberryhub/internal/enginemodel"
+	"bilberryhub/internal/manifest"
+)
+
+const (
+	// lateShare is the share of its worth that a late answer keeps. The users
+	// state about a quarter for every kind of generation.
+	lateShare = 0.25
+	// MaxHelpers is the largest number of helpers that an engine takes.
+	MaxHelpers = 16
+	// idleWorth is the price of using an engine without work, which a long read
+	// could use better, as a share of the request's worth.
+	idleWorth = 0.02
+	// farWorth is the price of leaving the own failure domain.
+	farWorth = 0.002
+	// fullShare is the share of the slots above which an engine is used only when
+	// no other one is better.
+	fullShare = 0.8
+	// crowdWorth is the price of an engine above fullShare.
+	crowdWorth = 0.05
+	// coldWorth is the price of a cold engine.
+	coldWorth = 0.1
+	// splitWorth is the price of each helper, for its disturbance of requests
+	// that arrive during the read.
+	splitWorth = 0.004
+	// queuePlaces is how many requests may wait at an engine beyond its slots.
+	queuePlaces = 8
+	// minPartTokens is the smallest part worth a helper: about one pass of reading.
+	minPartTokens = 8_000
+)
+
+// Engine is one candidate.
+type Engine struct {
+	// Index is the caller's reference to the backend server.
+	Index int
+	Load  *enginemodel.Load
+	Slots int
+	// Far is set outside the caller's own failure domain.
+	Far bool
+	// Risk is added worth lost, for an engine that is suspected to be ill.
+	Risk float64
+	// Cold is set while the engine bears few requests only: it helps nobody.
+	Cold bool
+}
+
+// Request is what has to be placed.
+type Request struct {
+	PromptTokens, OutputTokens float64
+	// ObjectiveMs is the objective for the first event counted from now, and
+	// AbandonMs when the caller leaves without one.
+	ObjectiveMs, AbandonMs float64
+	Worth                  float64
+}
+
+// Choice is the decision.
+type Choice struct {
+	// First runs the request; Helpers read parts of the prompt.
+	First   int
+	Helpers []int
+	// FirstEventMs is the predicted time to the first event.
+	FirstEventMs float64
+	// LossWorth is what the decision costs in worth.
+	LossWorth float64
+}
+
+// Worth estimates what a generation is worth to callers: they state it in
+// proportion to the tokens read and ten times the tokens written.
+func Worth(promptTokens, outputTokens float64) float64 {
+	return max(0.1, (promptTokens+10*outputTokens)/worthUnitTokens)
+}
+
+// worthUnitTokens is the size of a generation worth one plain request.
+const worthUnitTokens = 14_000
+
+// splits are the numbers of engines tried for one prompt.
+var splits = []int{1, 2, 3, 4, 5, 6, 8, 10, 12, 16}
+
+type scored struct {
+	Engine
+	harm, first, cost float64
+}
+
+// Choose returns the best placement, or false when no engine can hold the
+// request.
+func Choose(spec *manifest.Engine, r Request, engines []Engine, now float64) (Choice, bool) {
+	best, found := Choice{LossWorth: math.Inf(1)}, false
+	for _, parts := range splits {
+		if parts > len(engines) || parts > MaxHelpers+1 {
+			break
+		}
+		part := r.PromptTokens / float64(parts)
+		if parts > 1 && part < minPartTokens {
+			break
+		}
+		if c, ok := chooseParts(spec, r, engines, parts, part, now); ok && c.LossWorth < best.LossWorth {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// chooseParts returns the best placement on a given number of engines.
+func chooseParts(spec *manifest.Engine, r Request, engines []Engine, parts int, part, now float64) (Choice, bool) {
+	rows := make([]scored, 0, len(engines))
+	for _, e := range engines {
+		rows = append(rows, score(r, e, parts, part, now))
+	}
+	slices.SortFunc(rows, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
+	first := slices.IndexFunc(rows, func(s scored) bool { return holds(spec, r, s.Engine) })
+	if first < 0 {
+		return Choice{}, false
+	}
+	c := Choice{First: rows[first].Index, FirstEventMs: rows[first].first, LossWorth: rows[first].cost}
+	for i := 0; i < len(rows) && len(c.Helpers) < parts-1; i++ {
+		if i == first || rows[i].Cold {
+			continue
+		}
+		c.Helpers = append(c.Helpers, rows[i].Index)
+		c.FirstEventMs = max(c.FirstEventMs, rows[i].first)
+		c.LossWorth += rows[i].harm + rows[i].Risk + splitWorth*r.Worth
+	}
+	c.LossWorth += r.loss(c.FirstEventMs) - r.loss(rows[first].first)
+	return c, len(c.Helpers) == parts-1
+}
+
+// score returns what a part at one engine costs.
+func score(r Request, e Engine, parts int, part, now float64) scored {
+	s := scored{Engine: e}
+	s.first = e.Load.FirstEventMs(r.PromptTokens, part)
+	if over := e.Load.Open - e.Slots + 1; over > 0 {
+		s.first += float64(over) * e.Load.WriteMs(r.OutputTokens) / float64(e.Slots)
+	}
+	s.harm = e.Load.HarmWorth(r.PromptTokens, part, now, lateShare, parts > 1)
+	s.cost = s.harm + r.loss(s.first) + e.Risk
+	if e.Load.Open == 0 && e.Load.BacklogMs == 0 {
+		s.cost += idleWorth * r.Worth
+	}
+	if e.Cold {
+		s.cost += coldWorth * r.Worth
+	}
+	if e.Far {
+		s.cost += farWorth * r.Worth
+	}
+	if float64(e.Load.Open) >= fullShare*float64(e.Slots) {
+		s.cost += crowdWorth * r.Worth * float64(1+e.Load.Open-int(fullShare*float64(e.Slots)))
+	}
+	return s
+}
+
+// holds reports whether an engine has a slot and the memory for the request.
+func holds(spec *manifest.Engine, r Request, e Engine) bool {
+	need := r.PromptTokens + r.OutputTokens
+	if float64(spec.CapacityTokens) < need {
+		return false
+	}
+	return e.Load.Open < e.Slots+queuePlaces && e.Load.MemoryTokens+need <= float64(spec.CapacityTokens)
+}
+
+// loss returns the worth lost when the first event comes after ms. It is
+// smooth, because predictions have errors.
+func (r Request) loss(ms float64) float64 {
+	late := ramp(ms, 0.6*r.ObjectiveMs, 1.05*r.ObjectiveMs)
+	gone := ramp(ms, 0.7*r.AbandonMs, r.AbandonMs)
+	// A small slope prefers the earlier of two placements in time.
+	return r.Worth * ((1-lateShare)*late + lateShare*gone + 0.01*ms/max(r.ObjectiveMs, 1))
+}
+
+// ramp rises from 0 at low to 1 at high.
+func ramp(x, low, high float64) float64 {
+	if high <= low {
+		return 0
+	}
+	return min(1, max(0, (x-low)/(high-low)))
+}
--- a/internal/raft/api.go
+++ b/internal/raft/api.go
@@ -132,4 +132,7 @@
 	Next            uint64 `json:"next"`
 	InflightEntries uint64 `json:"inflight_entries"`
 	InflightBytes   int    `json:"inflight_bytes"`
+	// SilentFor is the time since the last round that the replica has answered,
+	// or since the leader's election.
+	SilentFor time.Duration `json:"silent_for_ns"`
 }
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -28,8 +28,16 @@
 	n.eachPeer(func(id string, p *progress) {
 		out = append(out, PeerStatus{
 			ID: id, Learner: !n.isVoter(id), State: string(p.state), Match: p.match, Next: p.next,
-			InflightEntries: p.inflightEntries(), InflightBytes: p.inflightBytes,
+			InflightEntries: p.inflightEntries(), InflightBytes: p.inflightBytes, SilentFor: n.silentFor(p),
 		})
 	})
 	return out
 }
+
+// silentFor returns the time since the last round that a replica has answered.
+func (n *Node) silentFor(p *progress) time.Duration {
+	if !p.answered {
+		return n.now - n.leadSince
+	}
+	return n.now - max(p.contact, n.leadSince)
+}
--- a/internal/statemachine/check.go
+++ b/internal/statemachine/check.go
@@ -83,7 +83,7 @@
 	if k := o.GetKind(); k != "failure_domain" && k != "backend_server" {
 		return bad("unknown target kind %q", k)
 	}
-	if o.GetNumber() == 0 {
+	if o.GetNumber() == 0 && !o.GetNext() {
 		return bad("order number is 0")
 	}
 	if len(o.GetReason()) > maxReasonBytes {
--- a/internal/statemachine/configuration.go
+++ b/internal/statemachine/configuration.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/invariant"
 	"bilberryhub/internal/manifest"
@@ -49,6 +51,9 @@
 	key := orderKey{o.GetKind(), o.GetTarget()}
 	old := m.orders[key]
 	r := &wirepb.Result{Index: m.configIndex, NumberInForce: old.GetNumber()}
+	if o.GetNext() {
+		o = numbered(o, old)
+	}
 	switch {
 	case o.GetNumber() < old.GetNumber():
 		r.Code = CodeOrderOutdated
@@ -69,6 +74,17 @@
 	return r
 }
 
+// numbered returns the order with the number after the one in force, or with
+// the same number when it changes nothing.
+func numbered(o, old *wirepb.Order) *wirepb.Order {
+	n := proto.CloneOf(o)
+	n.Next, n.Number = false, old.GetNumber()+1
+	if old.GetOut() == o.GetOut() && old != nil {
+		n.Number = old.GetNumber()
+	}
+	return n
+}
+
 func describeOrder(o *wirepb.Order) string {
 	direction := "in"
 	if o.GetOut() {
--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -222,7 +222,7 @@
 	case errors.As(err, &op) && op.Op == "dial":
 		return nil, codeNoLeader
 	case err != nil:
-		return nil, codeOutcomeUnknown
+		return nil, CodeOutcomeUnknown
 	}
 	r := env.GetProposeReply().GetResult()
 	return r, r.GetCode()
--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -95,7 +95,7 @@
 		}
 	}
 	wg.Wait()
-	if s.settings.coordinator() != s.settings.ID {
+	if s.settings.JoinOnly || s.settings.coordinator() != s.settings.ID {
 		return
 	}
 	members := make([]*wirepb.Replica, 0, len(answers))
@@ -116,7 +116,7 @@
 }
 
 func (s *Server) askJoin(ctx context.Context, r ReplicaConfig) joinAnswer {
-	self, _ := s.settings.replica(s.settings.ID)
+	self := s.settings.self()
 	st, err := s.clients.Get(r.Address).Open(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Join{
 		Join: &wirepb.Join{Replica: self.withID(s.id)},
 	}})
@@ -234,7 +234,7 @@
 }
 
 // maxReplicas bounds the voters and learners.
-const maxReplicas = 7
+const maxReplicas = 16
 
 // addReplica proposes to add a replica as a learner, in place of the identity
 // of the same name, whose disk was lost.
--- a/internal/stateserver/handler.go
+++ b/internal/stateserver/handler.go
@@ -25,6 +25,9 @@
 	case *wirepb.Envelope_Dump:
 		return s.sendDump(st)
 	default:
+		if s.opts.Handle != nil {
+			return s.opts.Handle(ctx, st, req)
+		}
 		return errors.Errorf("call %T is not served by a state process", req.GetBody())
 	}
 }
--- a/internal/stateserver/history_test.go
+++ b/internal/stateserver/history_test.go
@@ -96,7 +96,7 @@
 				op := porcupine.Operation{ClientId: caller, Input: in, Call: time.Since(start).Nanoseconds()}
 				r, code := propose(clients[rng.IntN(len(clients))], claim(in.key, in.id))
 				op.Return = time.Since(start).Nanoseconds()
-				out := claimOutput{unknown: code == codeOutcomeUnknown}
+				out := claimOutput{unknown: code == CodeOutcomeUnknown}
 				if r != nil {
 					out.holder = r.GetClaim().GetClaimId()
 				}
--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -68,6 +69,9 @@
 	if err := l.startNode(raft.InitialState{HardState: rec.HardState, Snapshot: rec.Snapshot, Entries: rec.Entries}); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if l.forming == nil {
+		l.s.peers.retain(l.node.MembershipAt(math.MaxUint64))
+	}
 	if st := l.node.Status(l.now()); l.forming == nil && !slices.Contains(slices.Concat(st.Voters, st.Learners), s.id) {
 		l.log.Error("this disk belongs to no member of its cluster; move the data folder away to join with a new identity",
 			zap.String("replica", s.id), zap.Strings("voters", st.Voters), zap.Strings("retired", st.Retired))
@@ -131,7 +135,7 @@
 	if l.node.Retired() {
 		// Another disk has taken the place of this one, so what is stored here
 		// is outdated for good.
-		l.err = errors.Errorf("identity %s is retired; move the data folder away to join with a new identity", l.s.id)
+		l.err = &RetiredError{ID: l.s.id}
 	}
 }
 
@@ -219,7 +223,7 @@
 	}
 	for index, w := range l.waiters {
 		if index <= snap.GetIndex() {
-			w.answer(failed(codeOutcomeUnknown, "a snapshot has replaced the log"))
+			w.answer(failed(CodeOutcomeUnknown, "a snapshot has replaced the log"))
 			delete(l.waiters, index)
 		}
 	}
--- a/internal/stateserver/propose.go
+++ b/internal/stateserver/propose.go
@@ -16,7 +16,7 @@
 	"bilberryhub/internal/wirepb"
 )
 
-// Codes of failures. Except for codeOutcomeUnknown they state that the call has
+// Codes of failures. Except for CodeOutcomeUnknown they state that the call has
 // changed nothing and will not.
 const (
 	// codeNoLeader says that no leader is known, or that it is changing.
@@ -26,9 +26,9 @@
 	codeNoQuorum = "no_quorum"
 	// codeBusy says that too many proposals wait.
 	codeBusy = "busy"
-	// codeOutcomeUnknown says that the proposal may or may not be carried out.
+	// CodeOutcomeUnknown says that the proposal may or may not be carried out.
 	// The same proposal may be sent again under its id.
-	codeOutcomeUnknown = "outcome_unknown"
+	CodeOutcomeUnknown = "outcome_unknown"
 	// codeNoCluster says that the replica belongs to no cluster.
 	codeNoCluster = "no_cluster"
 	// codeRefused says that the call is not allowed.
@@ -93,7 +93,7 @@
 	// A waiter of an older term has lost its entry, or this one could not have
 	// been appended at the same index.
 	if old, ok := l.waiters[index]; ok {
-		old.answer(failed(codeOutcomeUnknown, "the entry was replaced by another leader"))
+		old.answer(failed(CodeOutcomeUnknown, "the entry was replaced by another leader"))
 	}
 	l.waiters[index] = waiter{term: term, since: now, reply: m.reply}
 }
@@ -153,24 +153,29 @@
 
 // propose answers a Propose call.
 func (s *Server) propose(ctx context.Context, st *wire.Stream, p *wirepb.Propose) error {
+	return reply(st, "propose", s.proposeCommand(ctx, p.GetCommand(), !p.GetForwarded()))
+}
+
+// proposeCommand checks and proposes a command. It is sent on to the leader
+// only where mayForward is set, which bounds forwarding to one hop.
+func (s *Server) proposeCommand(ctx context.Context, cmd *wirepb.Command, mayForward bool) outcome {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.ProposeTimeout)
 	defer cancel()
-	cmd := p.GetCommand()
 	if r := checkCommand(cmd); r != nil {
-		return reply(st, "propose", outcome{result: r})
+		return outcome{result: r}
 	}
 	data, err := proto.Marshal(cmd)
 	if err != nil {
-		return reply(st, "propose", failed(codeRefused, "encode command: %v", err))
+		return failed(codeRefused, "encode command: %v", err)
 	}
 	ask := func(ch chan<- outcome) message { return proposal{data: data, reply: ch} }
-	forward := &wirepb.Envelope{Body: &wirepb.Envelope_Propose{Propose: &wirepb.Propose{Command: cmd, Forwarded: true}}}
-	if p.GetForwarded() {
-		forward = nil
+	var forward *wirepb.Envelope
+	if mayForward {
+		forward = &wirepb.Envelope{Body: &wirepb.Envelope_Propose{Propose: &wirepb.Propose{Command: cmd, Forwarded: true}}}
 	}
 	o := s.askLeader(ctx, ask, forward)
 	s.metrics.proposals(o.code)
-	return reply(st, "propose", o)
+	return o
 }
 
 // askLeader carries out a call here, or at the leader when forward is not nil.
@@ -199,7 +204,7 @@
 	case <-ctx.Done():
 	case <-s.ctx.Done():
 	}
-	return failed(codeOutcomeUnknown, "no outcome in time")
+	return failed(CodeOutcomeUnknown, "no outcome in time")
 }
 
 // forward sends a call to the leader.
@@ -226,7 +231,7 @@
 	case errors.As(err, &op) && op.Op == "dial":
 		return failed(codeNoLeader, "%v", err)
 	default:
-		return failed(codeOutcomeUnknown, "%v", err)
+		return failed(CodeOutcomeUnknown, "%v", err)
 	}
 }
 
--- a/internal/stateserver/repair.go
+++ b/internal/stateserver/repair.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,28 +19,79 @@
 // repair is the state of the promotion of learners.
 type repair struct{ next time.Duration }
 
-// promoteLearners makes learners that have caught up voters, one at a time.
+// voterLostAfter is the silence after which a voter gives way to a caught-up
+// learner. It is above the time of a restart and of an election.
+const voterLostAfter = 2 * time.Second
+
+// promoteLearners makes learners that have caught up voters, one at a time, up
+// to the number of voters that the settings ask for. When that number is
+// reached, a learner takes the place of a voter that has been silent for long.
 func (l *loop) promoteLearners(now time.Duration) {
 	if now < l.repair.next || !l.node.LeaseValid(now) {
 		return
 	}
 	l.repair.next = now + promoteInterval
-	learners := l.node.Status(now).Learners
-	l.s.metrics.learners.Set(float64(len(learners)))
-	for _, id := range learners {
-		_, _, err := l.node.ProposeMembership(raft.Change{Kind: raft.Promote, ID: id}, now)
-		var behind raft.ErrLearnerBehind
-		switch {
-		case err == nil:
-			l.log.Info("learner promoted", zap.String("replica", id))
+	st := l.node.Status(now)
+	l.s.metrics.learners.Set(float64(len(st.Learners)))
+	if target := l.s.settings.TargetVoters; target > 0 && len(st.Voters) >= target {
+		l.replaceLostVoter(st, now)
+		return
+	}
+	for _, id := range l.byFewestVoters(st) {
+		if l.changeMembership(raft.Change{Kind: raft.Promote, ID: id}, now) {
 			return
-		case errors.As(err, &behind), errors.Is(err, raft.ErrChangePending):
-		default:
-			l.log.Debug("learner not promoted", zap.String("replica", id), observe.Error(err))
 		}
 	}
 }
 
+// byFewestVoters returns the learners, those first whose failure domain has the
+// fewest voters.
+func (l *loop) byFewestVoters(st raft.Status) []string {
+	m := l.node.MembershipAt(l.applied)
+	domain, voters := map[string]string{}, map[string]int{}
+	for _, r := range m.GetLearners() {
+		domain[r.GetId()] = r.GetFailureDomain()
+	}
+	for _, r := range m.GetVoters() {
+		voters[r.GetFailureDomain()]++
+	}
+	learners := slices.Clone(st.Learners)
+	slices.SortStableFunc(learners, func(a, b string) int { return voters[domain[a]] - voters[domain[b]] })
+	return learners
+}
+
+// replaceLostVoter removes a voter that has been silent for long when a learner
+// stands ready for its place. The next round promotes the learner.
+func (l *loop) replaceLostVoter(st raft.Status, now time.Duration) {
+	ready := slices.ContainsFunc(st.Progress, func(p raft.PeerStatus) bool {
+		return p.Learner && p.Match >= st.Commit && p.SilentFor < voterLostAfter
+	})
+	if !ready {
+		return
+	}
+	for _, p := range st.Progress {
+		if !p.Learner && p.SilentFor >= voterLostAfter {
+			l.changeMembership(raft.Change{Kind: raft.Remove, ID: p.ID}, now)
+			return
+		}
+	}
+}
+
+// changeMembership proposes a change and reports whether it was appended.
+func (l *loop) changeMembership(c raft.Change, now time.Duration) bool {
+	_, _, err := l.node.ProposeMembership(c, now)
+	var behind raft.ErrLearnerBehind
+	switch {
+	case err == nil:
+		l.log.Info("membership change proposed", zap.Int("kind", int(c.Kind)), zap.String("replica", c.ID))
+		return true
+	case errors.As(err, &behind), errors.Is(err, raft.ErrChangePending):
+	default:
+		l.log.Debug("membership change refused", zap.String("replica", c.ID), observe.Error(err))
+	}
+	return false
+}
+
 // handover asks the loop to give up the leadership. The reply says whether the
 // replica still leads or has proposals without outcome.
 type handover struct{ reply chan<- bool }
--- a/internal/stateserver/server.go
+++ b/internal/stateserver/server.go
@@ -48,6 +48,7 @@
 	"bilberryhub/internal/raft"
 	"bilberryhub/internal/wal"
 	"bilberryhub/internal/wire"
+	"bilberryhub/internal/wirepb"
 )
 
 // Timing of the consensus core. An election starts one to two election
@@ -81,6 +82,8 @@
 	FS wal.FS
 	// Now returns the monotonic time since the process started.
 	Now func() time.Duration
+	// Handle answers calls that the state server does not know; nil refuses them.
+	Handle wire.Handler
 	// ProposeTimeout bounds a proposal or query; zero means the default.
 	ProposeTimeout time.Duration
 }
@@ -127,7 +130,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	w, rec, err := wal.Open(set.DataDir, wal.Options{FS: opts.FS})
+	w, rec, err := wal.Open(set.DataDir, wal.Options{FS: opts.FS, SegmentBytes: set.SegmentBytes})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -189,9 +192,32 @@
 	}
 }
 
+// RetiredError ends a replica whose place another disk has taken.
+type RetiredError struct{ ID string }
+
+func (e *RetiredError) Error() string {
+	return "identity " + e.ID + " is retired; move the data folder away to join with a new identity"
+}
+
 // ID returns the replica id.
 func (s *Server) ID() string { return s.id }
 
+// Config returns the newest configuration that this replica has applied.
+func (s *Server) Config() *wirepb.ConfigSnapshot { return s.published.Load().config }
+
+// Fresh reports whether Config is proven to be the newest accepted one.
+func (s *Server) Fresh() bool { return s.fresh() }
+
+// Addresses returns the addresses of all replicas that are known.
+func (s *Server) Addresses() []string { return s.peers.known() }
+
+// Propose proposes a command, here or at the leader. The code is empty when the
+// result is that of the state machine; see the codes in propose.go.
+func (s *Server) Propose(ctx context.Context, cmd *wirepb.Command) (result *wirepb.Result, code, message string) {
+	o := s.proposeCommand(ctx, cmd, true)
+	return o.result, o.code, o.message
+}
+
 // Failed is closed when the server cannot continue; see Err.
 func (s *Server) Failed() <-chan struct{} { return s.failed }
 
--- a/internal/stateserver/settings.go
+++ b/internal/stateserver/settings.go
@@ -31,6 +31,14 @@
 	LogLevel      string          `json:"log_level"`
 	// SnapshotEntries is the number of applied entries between two snapshots.
 	SnapshotEntries uint64 `json:"snapshot_entries"`
+	// SegmentBytes is the size of one log file; 0 means the default.
+	SegmentBytes int64 `json:"segment_bytes"`
+	// JoinOnly keeps a replica with an empty data folder from taking part in the
+	// formation of the first replica set: it only joins an existing one.
+	JoinOnly bool `json:"join_only"`
+	// TargetVoters is the number of voters that the leader keeps, out of the
+	// replicas that have joined; 0 makes every replica a voter.
+	TargetVoters int `json:"target_voters"`
 }
 
 // ReplicaConfig names one replica of the initial set.
@@ -61,7 +69,7 @@
 			return errors.Errorf("at /replicas/%d/address: %v", i, err)
 		}
 	}
-	if !names[s.ID] {
+	if !names[s.ID] && !s.JoinOnly {
 		return errors.Errorf("at /id: %q is not among the replicas", s.ID)
 	}
 	for path, a := range map[string]string{"/listen": s.Listen, "/admin_listen": s.AdminListen} {
@@ -72,6 +80,14 @@
 	return nil
 }
 
+// self describes this replica.
+func (s *Settings) self() ReplicaConfig {
+	if r, ok := s.replica(s.ID); ok {
+		return r
+	}
+	return ReplicaConfig{Name: s.ID, Address: s.Listen, FailureDomain: s.FailureDomain}
+}
+
 func (s *Settings) replica(name string) (ReplicaConfig, bool) {
 	i := slices.IndexFunc(s.Replicas, func(r ReplicaConfig) bool { return r.Name == name })
 	if i < 0 {
--- a/internal/stateserver/transport.go
+++ b/internal/stateserver/transport.go
@@ -121,6 +121,23 @@
 	}
 }
 
+// known returns the addresses of the members and of the configured replicas.
+func (t *transport) known() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]string, 0, len(t.addresses)+len(t.s.settings.Replicas))
+	for _, a := range t.addresses {
+		all = append(all, a)
+	}
+	if len(all) == 0 {
+		for _, r := range t.s.settings.Replicas {
+			all = append(all, r.Address)
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 func (t *transport) wait() { t.wg.Wait() }
 
 type peerDump struct {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"sync"
 	"time"
 
@@ -162,7 +161,7 @@
 func (c *Client) dial(ctx context.Context) (*yamux.Session, Peer, error) {
 	dial := c.opts.Dial
 	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
+		dial = Dialer().DialContext
 	}
 	conn, err := dial(ctx, "tcp", c.address)
 	if err != nil {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -32,7 +32,7 @@
 
 // Serve listens on address and answers calls until Close.
 func Serve(address string, opts Options, handler Handler, log *zap.Logger) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := ListenConfig().Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", address)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,9 +35,10 @@
 	// handshakeTimeout bounds dialling and the handshake.
 	handshakeTimeout = 2 * time.Second
 	// writeTimeout bounds a write to a connection whose peer does not read.
-	writeTimeout = 5 * time.Second
-	// keepAlive is how often an idle connection is probed.
-	keepAlive = 5 * time.Second
+	writeTimeout = 3 * time.Second
+	// keepAlive is how often an idle connection is probed. An open connection may
+	// go silent while new ones work, which only a probe shows.
+	keepAlive = time.Second
 )
 
 // Kind is the kind of a process.
