--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,6 +54,9 @@
 	// kept is a whole answer that was no success.
 	kept *keptAnswer
 	err  error
+	// firstMs is the time to the first event, and pauseMs the longest pause between
+	// two events.
+	firstMs, pauseMs float64
 }
 
 // keptAnswer is an answer that is passed on if no better one comes.
@@ -345,6 +348,7 @@
 		zap.String("backend_server", a.pick.backend.ID), zap.String("outcome", names[v]), zap.Strings("helpers", helpers),
 		zap.Float64("predicted_ms", a.pick.predictedMs), zap.Int64("prompt_tokens", a.r.caller.PromptTokens),
 		zap.Int("open_there", a.pick.open), zap.Float64("slowness", a.pick.slowness), zap.Int("candidates", a.pick.candidates),
-		zap.Duration("announced_ago", now-a.pick.backend.SeenAt), zap.Uint64("config_index", a.r.version.Index),
+		zap.Float64("first_event_ms", a.firstMs), zap.Float64("longest_pause_ms", a.pauseMs),
+		zap.Duration("announced_ago", a.pick.job.sent-a.pick.backend.SeenAt), zap.Uint64("config_index", a.r.version.Index),
 		zap.Duration("config_age", a.r.configAge), zap.Float64("took_ms", ms(now-a.pick.job.sent)), observe.Error(a.err))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,11 +21,10 @@
 	firstEventFactor = 2.5
 	firstEventSlack  = 900 * time.Millisecond
 	// patienceShare is the share of the caller's patience after which a silent
-	// backend server is left, so that another one still has time.
-	patienceShare = 0.55
-	// pauseFactor and pauseFloor bound the pauses within a stream likewise.
-	pauseFactor = 4
-	pauseFloor  = time.Second
+	// backend server is left, so that another one still has time. Where the limit
+	// would come later, waiting is better: the work there is nearly done, and a
+	// second run would only add load.
+	patienceShare = 0.75
 	// maxEventBytes bounds one event.
 	maxEventBytes = 1 << 20
 )
@@ -41,48 +40,44 @@
 	hit   atomic.Bool
 }
 
-// newWatch cancels after limit; 0 means never.
+// newWatch cancels after limit; 0 means not before the first reset.
 func newWatch(cancel func(), limit time.Duration) *watch {
 	w := &watch{}
-	if limit > 0 {
-		w.timer = time.AfterFunc(limit, func() {
-			w.hit.Store(true)
-			cancel()
-		})
+	if limit <= 0 {
+		limit = time.Hour
 	}
+	w.timer = time.AfterFunc(limit, func() {
+		w.hit.Store(true)
+		cancel()
+	})
 	return w
 }
 
-func (w *watch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
+func (w *watch) stop() { w.timer.Stop() }
 
-func (w *watch) reset(limit time.Duration) {
-	if w.timer != nil && limit > 0 {
-		w.timer.Reset(limit)
-	}
-}
+func (w *watch) reset(limit time.Duration) { w.timer.Reset(limit) }
 
 func (w *watch) fired() bool { return w.hit.Load() }
 
 // firstEventLimit is how long the first event is waited for; 0 means until the
-// deadline.
+// connection breaks or the deadline passes.
 func (a *attempt) firstEventLimit() time.Duration {
 	if !a.r.route.Idempotent() || a.pick.predictedMs <= 0 {
 		return 0
 	}
-	predicted := time.Duration(a.pick.predictedMs * float64(time.Millisecond))
-	patience := time.Duration(a.r.abandonMs() * patienceShare * float64(time.Millisecond))
-	return max(minAttempt, min(time.Duration(firstEventFactor*float64(predicted))+firstEventSlack, patience))
+	limit := time.Duration(firstEventFactor*a.pick.predictedMs*float64(time.Millisecond)) + firstEventSlack
+	if limit > a.patience() {
+		return 0
+	}
+	return limit
 }
 
 // pauseLimit is how long the next event is waited for.
-func (a *attempt) pauseLimit() time.Duration {
-	patience := time.Duration(a.r.abandonMs() * patienceShare * float64(time.Millisecond))
-	pause := time.Duration(pauseFactor * a.r.route.PauseMs * float64(time.Millisecond))
-	return min(max(pauseFloor, pause), patience)
+func (a *attempt) pauseLimit() time.Duration { return a.patience() }
+
+// patience is the time after which another backend server is tried.
+func (a *attempt) patience() time.Duration {
+	return time.Duration(a.r.abandonMs() * patienceShare * float64(time.Millisecond))
 }
 
 // relay passes a stream on, whole events only. Nothing is sent before the first
@@ -90,15 +85,22 @@
 func (a *attempt) relay(answer *exchange.Answer, silence *watch) verdict {
 	events := newEventReader(answer.Body)
 	seen := 0
+	var last time.Duration
 	for {
 		event, err := events.next()
 		if err != nil {
 			return a.streamEnd(answer, err, seen, silence)
 		}
-		silence.reset(a.pauseLimit())
+		if a.r.route.Idempotent() {
+			silence.reset(a.pauseLimit())
+		}
+		now := bootclock.Now()
 		if seen++; seen == 1 {
-			a.firstEvent()
+			a.firstEvent(now)
+		} else {
+			a.pauseMs = max(a.pauseMs, ms(now-last))
 		}
+		last = now
 		if id, ok := eventID(event); ok {
 			a.r.caller.LastEvent = id
 		}
@@ -109,10 +111,10 @@
 	}
 }
 
-func (a *attempt) firstEvent() {
-	now := bootclock.Now()
+func (a *attempt) firstEvent(now time.Duration) {
 	a.g.book.writing(a.pick.job, a.pick.helperJobs, now)
 	seenMs := ms(now - a.pick.job.sent)
+	a.firstMs = seenMs
 	if a.pick.slowness > 0 {
 		a.g.health.noteFirstEvent(a.pick.job.backend, a.pick.predictedMs/a.pick.slowness, seenMs, now)
 	}
