Follow the order in which engines read

Cause: predictions under load were off: parts of prompts that several engines read go ahead of everything at an engine, the newest first. Change: the engine model replays the reading in this order; harm counts each delayed request once; short reads fill engines from one end of an order that all gateways share, long ones from the other.

--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -16,8 +16,11 @@
 	"bilberryhub/internal/manifest"
 )
 
-// Work is one request at one engine.
+// Work is one request at one engine, or one part of a prompt that several
+// engines read.
 type Work struct {
+	// Request is the same for all parts of one prompt.
+	Request uint64
 	// SentMs is when it was sent, on any clock that the caller keeps to.
 	SentMs float64
 	// PromptTokens is the whole prompt, PartTokens what this engine reads of it.
@@ -68,6 +71,9 @@
 	// passMs is the time of a pass without reading.
 	passMs float64
 	works  []Work
+	// firstInMs is the predicted time until the first event of each work that
+	// still reads, from now.
+	firstInMs []float64
 	// slowness multiplies all times; 1 for an engine as described.
 	slowness float64
 }
@@ -77,10 +83,9 @@
 
 // NewLoad summarises the work at an engine at the time now.
 func NewLoad(e *manifest.Engine, works []Work, now, slowness float64) *Load {
-	l := &Load{engine: e, works: works, slowness: max(slowness, 0.1)}
+	l := &Load{engine: e, works: works, slowness: max(slowness, 0.1), firstInMs: make([]float64, len(works))}
 	slices.SortFunc(works, func(a, b Work) int { return cmp.Compare(a.SentMs, b.SentMs) })
 	context := 0.0
-	busyUntil := 0.0
 	for _, w := range works {
 		if !w.Helper {
 			l.Open++
@@ -89,27 +94,92 @@
 		if w.Writing {
 			l.Writers++
 			context += w.PromptTokens + w.OutputTokens/2
-			continue
 		}
-		read := ReadMs(e, w.PromptTokens, w.PartTokens) * l.slowness
-		start := max(w.SentMs, busyUntil)
-		busyUntil = start + read
-		l.BacklogMs += max(min(busyUntil-max(start, now), read), min(read, overdueMs))
 	}
 	l.passMs = PassMs(e, l.Writers, context) * l.slowness
+	l.schedule(now)
 	return l
 }
 
-// FirstEventMs predicts the time to the first event of a request that reads
-// part tokens here, after what is there already.
+// joint reports whether the prompt is read by several engines.
+func (w *Work) joint() bool { return w.Helper || w.PartTokens < w.PromptTokens }
+
+// order returns the reading works in the order in which the engine reads them:
+// parts of prompts that several engines read go ahead of everything that is
+// there, so the newest comes first; whole prompts follow in the order of their
+// arrival. Works from index end on have not arrived yet.
+func (l *Load) order(end int) []int {
+	out := make([]int, 0, end)
+	for i := end - 1; i >= 0; i-- {
+		if l.works[i].joint() {
+			out = append(out, i)
+		}
+	}
+	for i := range end {
+		if !l.works[i].joint() {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// schedule works out how much of each read is left and when it ends.
+func (l *Load) schedule(now float64) {
+	left := l.remaining(now)
+	for _, i := range l.order(len(l.works)) {
+		if l.works[i].Writing {
+			continue
+		}
+		l.BacklogMs += left[i]
+		l.firstInMs[i] = l.BacklogMs + l.passMs
+	}
+}
+
+// remaining replays the reading up to now.
+func (l *Load) remaining(now float64) []float64 {
+	left := make([]float64, len(l.works))
+	for i, w := range l.works {
+		left[i] = ReadMs(l.engine, w.PromptTokens, w.PartTokens) * l.slowness
+	}
+	for i := range l.works {
+		until := now
+		if i+1 < len(l.works) {
+			until = min(now, l.works[i+1].SentMs)
+		}
+		time := until - l.works[i].SentMs
+		for _, j := range l.order(i + 1) {
+			d := min(left[j], max(0, time))
+			left[j] -= d
+			time -= d
+		}
+	}
+	for i, w := range l.works {
+		switch {
+		case w.Writing:
+			left[i] = 0
+		case left[i] < overdueMs:
+			left[i] = min(overdueMs, ReadMs(l.engine, w.PromptTokens, w.PartTokens)*l.slowness)
+		}
+	}
+	return left
+}
+
+// FirstEventMs predicts the time until part tokens of a prompt are read here,
+// and the first event of the request is there.
 func (l *Load) FirstEventMs(prompt, part float64) float64 {
 	read := ReadMs(l.engine, prompt, part) * l.slowness
-	total := l.BacklogMs + read
-	first := total + l.passMs
+	perPass := l.readPerPassMs(prompt)
+	first := read + l.passMs
+	if part < prompt {
+		// The part goes ahead, but not of the pass that is under way.
+		if l.Writers > 0 {
+			first += (l.passMs + min(l.BacklogMs, perPass)) / 2
+		}
+		return first + l.passMs*float64(int(read/perPass))
+	}
+	first += l.BacklogMs
 	if l.Writers > 0 {
-		// The request joins in the middle of a pass, and a long read is spread
-		// over several passes.
-		first += l.passMs/2 + l.passMs*float64(int(total/l.readPerPassMs(prompt)))
+		first += l.passMs/2 + l.passMs*float64(int((l.BacklogMs+read)/perPass))
 	}
 	return first
 }
@@ -138,33 +208,41 @@
 	return l.passMs + min(read, l.readPerPassMs(prompt))
 }
 
-// HarmWorth returns the worth that the requests which are there lose if part
-// tokens of a prompt are read here: streams whose pauses become too long, and
-// requests whose first event comes too late. LateShare is the share of its
-// worth that a late answer keeps; urgent says that the part is read first.
-func (l *Load) HarmWorth(prompt, part, now, lateShare float64, urgent bool) float64 {
+// Harm calls lose for each request that is there and loses worth if part tokens
+// of a prompt are read here: streams whose pauses become too long, and requests
+// whose first event comes too late. LateShare is the share of its worth that a
+// late answer keeps.
+func (l *Load) Harm(prompt, part, now, lateShare float64, lose func(request uint64, worth float64)) {
 	read := ReadMs(l.engine, prompt, part) * l.slowness
 	pause, before := l.PauseMs(prompt, part), l.passMs+min(l.BacklogMs, l.readPerPassMs(prompt))
-	harm := 0.0
-	for _, w := range l.works {
-		if w.Helper {
-			continue
+	for i, w := range l.works {
+		worth := w.Worth * (1 - lateShare)
+		lost := 0.0
+		if !w.Writing && part < prompt {
+			expected := now - w.SentMs + l.firstInMs[i]
+			lost = worth * (lateness(expected+read, w.ObjectiveMs) - lateness(expected, w.ObjectiveMs))
 		}
-		// A pause that is too long without this request is no harm of it.
-		if w.PauseMs > 0 && pause > pauseMargin*w.PauseMs && before <= pauseMargin*w.PauseMs {
-			harm += w.Worth * (1 - lateShare)
-			continue
+		if w.PauseMs > 0 && !w.Helper && (w.Writing || part == prompt) {
+			lost = max(lost, worth*(lateness(pause, w.PauseMs)-lateness(before, w.PauseMs)))
 		}
-		if !w.Writing && urgent && w.ObjectiveMs > 0 {
-			expected := now - w.SentMs + l.BacklogMs + l.passMs
-			if expected <= w.ObjectiveMs && expected+read > w.ObjectiveMs {
-				harm += w.Worth * (1 - lateShare)
-			}
+		if lost > 0 {
+			lose(w.Request, lost)
 		}
 	}
-	return harm
 }
 
-// pauseMargin is the share of an accepted pause up to which predictions are
-// trusted; the rest covers the way to the caller and their error.
-const pauseMargin = 0.92
+// lateness is the estimated probability that an objective is missed when ms are
+// predicted.
+func lateness(ms, objective float64) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	return min(1, max(0, (ms-lateFrom*objective)/((lateTo-lateFrom)*objective)))
+}
+
+// Predictions have errors: an objective may be missed from lateFrom of it on,
+// and is counted as missed from lateTo.
+const (
+	lateFrom = 0.75
+	lateTo   = 1.05
+)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,10 +69,6 @@
 // run sends a request to backend servers until it is answered.
 func (g *Gateway) run(ctx context.Context, r *request) error {
 	g.budget.request(r.service.Name, bootclock.Now())
-	limit := r.route.MaxAttempts
-	if limit <= 0 {
-		limit = defaultMaxAttempts
-	}
 	var kept *keptAnswer
 	ran := false
 	var last error
@@ -101,7 +97,7 @@
 		}
 		last = a.err
 		r.tried = append(r.tried, p.backend.ID)
-		if !g.mayRepeat(r, v, limit, ran) {
+		if !g.mayRepeat(r, ran) {
 			break
 		}
 	}
@@ -114,20 +110,25 @@
 	return unavailable(g.backoff(r), "no backend server has run it: %v", last)
 }
 
-// mayRepeat reports whether a request may be sent to another backend server.
-func (g *Gateway) mayRepeat(r *request, v verdict, limit int, ran bool) bool {
-	switch {
-	case r.attempts >= limit:
-		return false
-	case ran && !r.route.Idempotent():
-		return false
-	case v == answered && r.route.Repeat == manifest.RepeatOnce:
-		return false
-	case r.deadline-bootclock.Now() < minAttempt+answerMargin:
-		return false
+// attemptLimit is the number of backend servers that a request may be sent to.
+func (r *request) attemptLimit() int {
+	if r.route.MaxAttempts > 0 {
+		return r.route.MaxAttempts
 	}
-	_, gateways := g.members.backends()
-	return g.budget.take(r.service.Name, gateways, bootclock.Now())
+	return defaultMaxAttempts
+}
+
+// repeatable reports whether the given attempt at a request may be made, where
+// ran says that an earlier one may have run.
+func (g *Gateway) repeatable(r *request, attempt int, ran bool) bool {
+	return attempt <= r.attemptLimit() && (!ran || r.route.Idempotent()) &&
+		r.deadline-bootclock.Now() >= minAttempt+answerMargin
+}
+
+// mayRepeat reports whether a request may be sent to another backend server, and
+// counts the repeat.
+func (g *Gateway) mayRepeat(r *request, ran bool) bool {
+	return g.repeatable(r, r.attempts+1, ran) && g.budget.take(r.service.Name, g.members.count(), bootclock.Now())
 }
 
 // notChosen returns the final answer of a request that found no backend server.
@@ -180,7 +181,7 @@
 	defer cancel()
 	// A backend server that is silent for long has to be told apart from one that
 	// works; the timer ends an attempt without progress.
-	silence := newWatch(cancel, a.firstEventLimit())
+	silence := newWatch(cancel, a.firstEventLimit(), a.waitOn)
 	defer silence.stop()
 	a.sent = now
 	answer, err := g.exchanges.Do(ctx, exchange.Request{
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -55,13 +55,24 @@
 	r.requests = append(r.requests, now)
 }
 
+// has reports whether a retry would be within the bound.
+func (b *budget) has(service string, gateways int, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.room(b.row(service, now), gateways)
+}
+
+func (b *budget) room(r *budgetRow, gateways int) bool {
+	bound := budgetShare * (b.ratio*float64(len(r.requests)) + b.slack/float64(max(1, gateways)))
+	return float64(len(r.retries)+1) <= bound
+}
+
 // take reports whether a retry is within the bound, and counts it.
 func (b *budget) take(service string, gateways int, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.row(service, now)
-	bound := budgetShare * (b.ratio*float64(len(r.requests)) + b.slack/float64(max(1, gateways)))
-	if float64(len(r.retries)+1) > bound {
+	if !b.room(r, gateways) {
 		return false
 	}
 	r.retries = append(r.retries, now)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"bilberryhub/internal/bootclock"
@@ -149,6 +150,7 @@
 	for i, c := range list {
 		e := placement.Engine{
 			Index: i, Slots: max(1, c.row.Slots), Far: c.row.FailureDomain != g.settings.FailureDomain,
+			Rank: rank(c.key),
 			Load: enginemodel.NewLoad(spec, c.works, ms(now), c.judge.slowness),
 			Risk: c.judge.failureShare * req.Worth, Cold: now < c.row.ColdUntil,
 		}
@@ -170,7 +172,7 @@
 	parts := float64(1 + len(choice.Helpers))
 	first := list[choice.First]
 	work := enginemodel.Work{
-		SentMs: ms(now), PromptTokens: req.PromptTokens, PartTokens: req.PromptTokens / parts,
+		Request: xxhash.Sum64String(r.caller.ID), SentMs: ms(now), PromptTokens: req.PromptTokens, PartTokens: req.PromptTokens / parts,
 		OutputTokens: req.OutputTokens, PauseMs: r.route.PauseMs, ObjectiveMs: r.route.ObjectiveMs, Worth: req.Worth,
 	}
 	p := &pick{
@@ -185,6 +187,10 @@
 	return p, nil
 }
 
+// rank returns the place of a backend server in an order that is the same at all
+// gateways, whichever backend servers each of them knows.
+func rank(key uint64) float64 { return float64(key>>11) / (1 << 53) }
+
 // placement returns the request in the terms of the placement.
 func (r *request) placement(now time.Duration) placement.Request {
 	prompt := float64(r.caller.PromptTokens)
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -47,6 +47,8 @@
 	slowness float64
 	samples  int
 	slowAt   time.Duration
+	// signAt is when anything was last received from it.
+	signAt time.Duration
 }
 
 // health judges backend servers by the outcomes of requests. Status checks are
@@ -100,6 +102,20 @@
 	p.at = now
 }
 
+// sign notes that something was received from a backend server.
+func (h *health) sign(backend uint64, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.row(backend).signAt = now
+}
+
+// lastSign returns when something was last received from a backend server.
+func (h *health) lastSign(backend uint64) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.row(backend).signAt
+}
+
 // noteFirstEvent records the time to a first event against its prediction.
 func (h *health) noteFirstEvent(backend uint64, predictedMs, seenMs float64, now time.Duration) {
 	if predictedMs <= 0 {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -248,6 +248,13 @@
 	return m.table.All(), len(m.gateways) + 1
 }
 
+// count returns the number of live gateways, this one included.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.gateways) + 1
+}
+
 // addresses returns where datagrams to the other gateways go.
 func (m *members) addresses() []string {
 	m.mu.Lock()
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -24,8 +24,8 @@
 	sharePause = 4 * time.Millisecond
 	// maxDatagram bounds a share; work beyond it is left out, the newest last.
 	maxDatagram = 8 << 10
-	// maxSharedJobs keeps a share below maxDatagram at some 45 bytes a job.
-	maxSharedJobs = 170
+	// maxSharedJobs keeps a share below maxDatagram at some 55 bytes a job.
+	maxSharedJobs = 140
 )
 
 var (
@@ -85,6 +85,7 @@
 			Backend: j.backend, AgeMs: uint32(max(0, now-j.sent).Milliseconds()), PromptTokens: uint32(j.work.PromptTokens),
 			PartTokens: uint32(j.work.PartTokens), OutputTokens: uint32(j.work.OutputTokens), Writing: j.work.Writing,
 			PauseMs: uint32(j.work.PauseMs), ObjectiveMs: uint32(j.work.ObjectiveMs), Helper: j.work.Helper,
+			Request: j.work.Request,
 		}
 		if j.work.Writing {
 			r.WritingMs = uint32(max(0, ms(now)-j.work.WritingSinceMs))
@@ -132,7 +133,7 @@
 	for _, r := range s.GetRunning() {
 		sent := now - milliseconds(int64(r.GetAgeMs()))
 		w := enginemodel.Work{
-			SentMs: ms(sent), PromptTokens: float64(r.GetPromptTokens()), PartTokens: float64(r.GetPartTokens()),
+			Request: r.GetRequest(), SentMs: ms(sent), PromptTokens: float64(r.GetPromptTokens()), PartTokens: float64(r.GetPartTokens()),
 			OutputTokens: float64(r.GetOutputTokens()), Writing: r.GetWriting(), Helper: r.GetHelper(),
 			WritingSinceMs: ms(now - milliseconds(int64(r.GetWritingMs()))),
 			PauseMs:        float64(r.GetPauseMs()), ObjectiveMs: float64(r.GetObjectiveMs()),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,19 +34,28 @@
 	resumed           = metrics.GetOrCreateCounter(`bilberry_gateway_streams_resumed_total`)
 )
 
-// watch cancels an attempt without progress.
+// aliveWithin is how recent another sign of life of a backend server must be for
+// a silent stream of it to be waited for.
+const aliveWithin = time.Second
+
+// watch cancels an attempt without progress, unless waiting on is better.
 type watch struct {
 	timer *time.Timer
 	hit   atomic.Bool
 }
 
-// newWatch cancels after limit; 0 means not before the first reset.
-func newWatch(cancel func(), limit time.Duration) *watch {
+// newWatch cancels after limit; 0 means not before the first reset. Wait returns
+// how much longer to wait, or 0 to cancel now.
+func newWatch(cancel func(), limit time.Duration, wait func() time.Duration) *watch {
 	w := &watch{}
 	if limit <= 0 {
 		limit = time.Hour
 	}
 	w.timer = time.AfterFunc(limit, func() {
+		if more := wait(); more > 0 {
+			w.timer.Reset(more)
+			return
+		}
 		w.hit.Store(true)
 		cancel()
 	})
@@ -59,6 +68,20 @@
 
 func (w *watch) fired() bool { return w.hit.Load() }
 
+// waitOn is asked when a stream has been silent for long. Cutting it helps the
+// caller only if another backend server may go on, and if the silent one is not
+// merely slow.
+func (a *attempt) waitOn() time.Duration {
+	now := bootclock.Now()
+	switch {
+	case !a.g.repeatable(a.r, a.r.attempts+1, true) || !a.g.budget.has(a.r.service.Name, a.g.members.count(), now):
+		return time.Hour
+	case now-a.g.health.lastSign(a.pick.job.backend) < aliveWithin:
+		return aliveWithin / 2
+	}
+	return 0
+}
+
 // firstEventLimit is how long the first event is waited for; 0 means until the
 // connection breaks or the deadline passes.
 func (a *attempt) firstEventLimit() time.Duration {
@@ -95,6 +118,7 @@
 			silence.reset(a.pauseLimit())
 		}
 		now := bootclock.Now()
+		a.g.health.sign(a.pick.job.backend, now)
 		if seen++; seen == 1 {
 			a.firstEvent(now)
 		} else {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,9 +24,13 @@
 	lateShare = 0.25
 	// MaxHelpers is the largest number of helpers that an engine takes.
 	MaxHelpers = 16
-	// idleWorth is the price of using an engine without work, which a long read
-	// could use better, as a share of the request's worth.
-	idleWorth = 0.02
+	// rankWorth is the price of the engines at the far end of the common order, in
+	// units of worth. Short reads fill engines from one end and long ones from the
+	// other, so that few engines have both.
+	rankWorth = 0.35
+	// shortReadMs divides short from long reads: a long one breaks the pauses that
+	// callers of short answers accept.
+	shortReadMs = 160
 	// farWorth is the price of leaving the own failure domain.
 	farWorth = 0.002
 	// fullShare is the share of the slots above which an engine is used only when
@@ -41,8 +45,9 @@
 	splitWorth = 0.004
 	// queuePlaces is how many requests may wait at an engine beyond its slots.
 	queuePlaces = 8
-	// minPartTokens is the smallest part worth a helper: about one pass of reading.
-	minPartTokens = 8_000
+	// minPartTokens is the smallest part worth a helper. A part goes ahead of the
+	// reads that wait at an engine, so that it may help a short prompt as well.
+	minPartTokens = 1_000
 )
 
 // Engine is one candidate.
@@ -51,6 +56,8 @@
 	Index int
 	Load  *enginemodel.Load
 	Slots int
+	// Rank is the place in the order that all gateways share, from 0 to 1.
+	Rank float64
 	// Far is set outside the caller's own failure domain.
 	Far bool
 	// Risk is added worth lost, for an engine that is suspected to be ill.
@@ -93,7 +100,8 @@
 
 type scored struct {
 	Engine
-	harm, first, cost float64
+	// price is what the engine itself costs, cost also what is lost there.
+	first, price, cost float64
 }
 
 // Choose returns the best placement, or false when no engine can hold the
@@ -118,49 +126,91 @@
 // chooseParts returns the best placement on a given number of engines.
 func chooseParts(spec *manifest.Engine, r Request, engines []Engine, parts int, part, now float64) (Choice, bool) {
 	rows := make([]scored, 0, len(engines))
+	first := -1
 	for _, e := range engines {
-		rows = append(rows, score(r, e, parts, part, now))
+		s := score(spec, r, e, part, now)
+		if !holds(spec, r, e) {
+			rows = append(rows, s)
+			continue
+		}
+		s.cost += slotCost(r, e)
+		rows = append(rows, s)
+		if first < 0 || s.cost < rows[first].cost {
+			first = len(rows) - 1
+		}
 	}
-	slices.SortFunc(rows, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
-	first := slices.IndexFunc(rows, func(s scored) bool { return holds(spec, r, s.Engine) })
 	if first < 0 {
 		return Choice{}, false
 	}
-	c := Choice{First: rows[first].Index, FirstEventMs: rows[first].first, LossWorth: rows[first].cost}
-	for i := 0; i < len(rows) && len(c.Helpers) < parts-1; i++ {
-		if i == first || rows[i].Cold {
+	harm := map[uint64]float64{}
+	c := Choice{First: rows[first].Index}
+	c.add(r, rows[first], part, now, harm)
+	c.FirstEventMs += slotWaitMs(r, rows[first].Engine)
+	c.LossWorth += slotCost(r, rows[first].Engine)
+	rows = slices.Delete(rows, first, first+1)
+	slices.SortFunc(rows, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
+	for _, s := range rows {
+		if len(c.Helpers) == parts-1 {
+			break
+		}
+		if s.Cold {
 			continue
 		}
-		c.Helpers = append(c.Helpers, rows[i].Index)
-		c.FirstEventMs = max(c.FirstEventMs, rows[i].first)
-		c.LossWorth += rows[i].harm + rows[i].Risk + splitWorth*r.Worth
+		c.Helpers = append(c.Helpers, s.Index)
+		c.add(r, s, part, now, harm)
+	}
+	for _, lost := range harm {
+		c.LossWorth += lost
 	}
-	c.LossWorth += r.loss(c.FirstEventMs) - r.loss(rows[first].first)
+	c.LossWorth += r.loss(c.FirstEventMs) + splitWorth*r.Worth*float64(len(c.Helpers))
 	return c, len(c.Helpers) == parts-1
 }
 
+// add counts one engine. A request that is delayed at several engines loses its
+// worth once.
+func (c *Choice) add(r Request, s scored, part, now float64, harm map[uint64]float64) {
+	c.FirstEventMs = max(c.FirstEventMs, s.first)
+	c.LossWorth += s.price
+	s.Load.Harm(r.PromptTokens, part, now, lateShare, func(request uint64, worth float64) {
+		harm[request] = max(harm[request], worth)
+	})
+}
+
 // score returns what a part at one engine costs.
-func score(r Request, e Engine, parts int, part, now float64) scored {
-	s := scored{Engine: e}
-	s.first = e.Load.FirstEventMs(r.PromptTokens, part)
-	if over := e.Load.Open - e.Slots + 1; over > 0 {
-		s.first += float64(over) * e.Load.WriteMs(r.OutputTokens) / float64(e.Slots)
+func score(spec *manifest.Engine, r Request, e Engine, part, now float64) scored {
+	s := scored{Engine: e, first: e.Load.FirstEventMs(r.PromptTokens, part)}
+	rank := e.Rank
+	if enginemodel.ReadMs(spec, r.PromptTokens, r.PromptTokens) > shortReadMs {
+		rank = 1 - rank
 	}
-	s.harm = e.Load.HarmWorth(r.PromptTokens, part, now, lateShare, parts > 1)
-	s.cost = s.harm + r.loss(s.first) + e.Risk
-	if e.Load.Open == 0 && e.Load.BacklogMs == 0 {
-		s.cost += idleWorth * r.Worth
+	s.price = e.Risk + rankWorth*rank*part/r.PromptTokens
+	if e.Far {
+		s.price += farWorth * r.Worth
 	}
 	if e.Cold {
-		s.cost += coldWorth * r.Worth
+		s.price += coldWorth * r.Worth
 	}
-	if e.Far {
-		s.cost += farWorth * r.Worth
+	s.cost = s.price + r.loss(s.first)
+	e.Load.Harm(r.PromptTokens, part, now, lateShare, func(_ uint64, worth float64) { s.cost += worth })
+	return s
+}
+
+// slotWaitMs is the expected wait for a slot of an engine.
+func slotWaitMs(r Request, e Engine) float64 {
+	over := e.Load.Open - e.Slots + 1
+	if over <= 0 {
+		return 0
 	}
-	if float64(e.Load.Open) >= fullShare*float64(e.Slots) {
-		s.cost += crowdWorth * r.Worth * float64(1+e.Load.Open-int(fullShare*float64(e.Slots)))
+	return float64(over) * e.Load.WriteMs(r.OutputTokens) / float64(e.Slots)
+}
+
+// slotCost is the price of taking a slot of an engine that is nearly full.
+func slotCost(r Request, e Engine) float64 {
+	over := float64(e.Load.Open) - fullShare*float64(e.Slots)
+	if over < 0 {
+		return 0
 	}
-	return s
+	return crowdWorth * r.Worth * (1 + over)
 }
 
 // holds reports whether an engine has a slot and the memory for the request.
