Share verdicts, continue started streams, refuse with the model's time

Change: a refused connection takes a backend server out until it announces itself again; gateways tell each other whom to avoid; callers' patience counts from the last event; Retry-After is when the model expects room.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -64,8 +64,8 @@
 	States []string
 	// StatesNow, when set, returns the addresses known at the moment instead.
 	StatesNow func() []string
-	Wire   wire.Options
-	Log    *zap.Logger
+	Wire      wire.Options
+	Log       *zap.Logger
 	// OnChange is called after each publication, one call at a time. It must
 	// not block.
 	OnChange func(*config.Version)
--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -27,9 +27,10 @@
 	// PromptTokens is the whole prompt, PartTokens what this engine reads of it.
 	PromptTokens, PartTokens float64
 	OutputTokens             float64
-	// Writing is set after the first event, WritingSinceMs when that was.
-	Writing        bool
-	WritingSinceMs float64
+	// Writing is set after the first event, Ended after the last one.
+	Writing, Ended bool
+	// DoneMs is when the reading was done: at the first event or the end.
+	DoneMs float64
 	// Helper is set where the engine reads a part for another one.
 	Helper bool
 	// PauseMs and ObjectiveMs are the objectives of its caller; 0 means none.
@@ -82,12 +83,17 @@
 // overdueMs stands for the rest of a read that should have ended already.
 const overdueMs = 15
 
-// NewLoad summarises the work at an engine at the time now.
+// NewLoad summarises the work at an engine at the time now. Works that have
+// ended help to tell how far the others have come; the caller may leave out
+// those that ended before the oldest of the others was sent.
 func NewLoad(e *manifest.Engine, works []Work, now, slowness float64) *Load {
 	l := &Load{engine: e, works: works, slowness: max(slowness, 0.1), firstInMs: make([]float64, len(works))}
 	slices.SortFunc(works, func(a, b Work) int { return cmp.Compare(a.SentMs, b.SentMs) })
 	context := 0.0
 	for _, w := range works {
+		if w.Ended {
+			continue
+		}
 		if !w.Helper {
 			l.Open++
 			l.MemoryTokens += w.PromptTokens + w.OutputTokens
@@ -105,18 +111,20 @@
 // joint reports whether the prompt is read by several engines.
 func (w *Work) joint() bool { return w.Helper || w.PartTokens < w.PromptTokens }
 
-// order returns the reading works in the order in which the engine reads them:
-// parts of prompts that several engines read go ahead of everything that is
-// there, so the newest comes first; whole prompts follow in the order of their
-// arrival. Works from index end on have not arrived yet.
-func (l *Load) order(end int) []int {
-	out := make([]int, 0, end)
-	for i := end - 1; i >= 0; i-- {
+// reading reports whether a part of the prompt is still to be read.
+func (w *Work) reading() bool { return !w.Writing && !w.Ended }
+
+// order returns the works in the order in which the engine reads them: parts of
+// prompts that several engines read go ahead of everything that is there, so the
+// newest comes first; whole prompts follow in the order of their arrival.
+func (l *Load) order() []int {
+	out := make([]int, 0, len(l.works))
+	for i := len(l.works) - 1; i >= 0; i-- {
 		if l.works[i].joint() {
 			out = append(out, i)
 		}
 	}
-	for i := range end {
+	for i := range l.works {
 		if !l.works[i].joint() {
 			out = append(out, i)
 		}
@@ -127,17 +135,18 @@
 // schedule works out how much of each read is left and when it ends. An engine
 // with writers gives all events of a pass at its end.
 func (l *Load) schedule(now float64) {
-	left := l.remaining(now)
+	order := l.order()
+	left := l.remaining(order, now)
 	ends := make([]float64, len(l.works))
-	for _, i := range l.order(len(l.works)) {
-		if !l.works[i].Writing {
+	for _, i := range order {
+		if l.works[i].reading() {
 			l.BacklogMs += left[i]
 			ends[i] = l.BacklogMs
 		}
 	}
 	for i, w := range l.works {
 		switch {
-		case w.Writing:
+		case !w.reading():
 		case l.Writers == 0:
 			l.firstInMs[i] = ends[i] + l.passMs
 		default:
@@ -146,43 +155,56 @@
 	}
 }
 
-// passesMs returns the time until a read that ends after readMs of reading is
-// known to be done, where totalMs of reading is waiting: the end of its pass.
-func (l *Load) passesMs(readMs, totalMs, prompt float64) float64 {
-	perPass := l.readPerPassMs(prompt)
-	n := math.Ceil(max(readMs, 1) / perPass)
-	return n*l.passMs + min(totalMs, n*perPass)
-}
-
-// remaining replays the reading up to now.
-func (l *Load) remaining(now float64) []float64 {
+// remaining replays the reading up to now, from one arrival or end of a read to
+// the next, and returns what is left of each.
+func (l *Load) remaining(order []int, now float64) []float64 {
 	left := make([]float64, len(l.works))
-	for i, w := range l.works {
-		left[i] = ReadMs(l.engine, w.PromptTokens, w.PartTokens) * l.slowness
-	}
+	times := make([]float64, 0, 2*len(l.works)+1)
 	for i := range l.works {
-		until := now
-		if i+1 < len(l.works) {
-			until = min(now, l.works[i+1].SentMs)
-		}
-		time := until - l.works[i].SentMs
-		for _, j := range l.order(i + 1) {
-			d := min(left[j], max(0, time))
-			left[j] -= d
-			time -= d
+		w := &l.works[i]
+		left[i] = ReadMs(l.engine, w.PromptTokens, w.PartTokens) * l.slowness
+		times = append(times, w.SentMs)
+		if !w.reading() {
+			times = append(times, w.DoneMs)
 		}
 	}
-	for i, w := range l.works {
-		switch {
-		case w.Writing:
-			left[i] = 0
-		case left[i] < overdueMs:
+	times = append(times, now)
+	slices.Sort(times)
+	for k := 1; k < len(times); k++ {
+		l.read(order, left, times[k-1], min(times[k], now)-times[k-1])
+	}
+	for i := range l.works {
+		if w := &l.works[i]; w.reading() && left[i] < overdueMs {
 			left[i] = min(overdueMs, ReadMs(l.engine, w.PromptTokens, w.PartTokens)*l.slowness)
 		}
 	}
 	return left
 }
 
+// read spends a span of time on the works that are there at its start.
+func (l *Load) read(order []int, left []float64, start, span float64) {
+	for _, i := range order {
+		w := &l.works[i]
+		if span <= 0 {
+			return
+		}
+		if w.SentMs > start || (!w.reading() && w.DoneMs <= start) {
+			continue
+		}
+		d := min(left[i], span)
+		left[i] -= d
+		span -= d
+	}
+}
+
+// passesMs returns the time until a read that ends after readMs of reading is
+// known to be done, where totalMs of reading is waiting: the end of its pass.
+func (l *Load) passesMs(readMs, totalMs, prompt float64) float64 {
+	perPass := l.readPerPassMs(prompt)
+	n := math.Ceil(max(readMs, 1) / perPass)
+	return n*l.passMs + min(totalMs, n*perPass)
+}
+
 // FirstEventMs predicts the time until part tokens of a prompt are read here,
 // and the first event of the request is there.
 func (l *Load) FirstEventMs(prompt, part float64) float64 {
@@ -237,6 +259,9 @@
 	read := ReadMs(l.engine, prompt, part) * l.slowness
 	pause, before := l.PauseMs(prompt, part), l.passMs+min(l.BacklogMs, l.readPerPassMs(prompt))
 	for i, w := range l.works {
+		if w.Ended {
+			continue
+		}
 		worth := w.Worth * (1 - lateShare)
 		lost := 0.0
 		if !w.Writing && (part < prompt || l.Writers > 0) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,10 +41,20 @@
 
 var dialled = metrics.GetOrCreateCounter(`bilberry_backend_connections_total`)
 
-// Errors that say how far an exchange came. ErrNotSent proves that the backend
-// server has not received the request; after any other error it may have run.
+// NotSentError proves that the backend server has not received the request. After
+// any other error of Do it may have run.
+type NotSentError struct {
+	Address string
+	Err     error
+}
+
+func (e *NotSentError) Error() string { return "connect to " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the error of the connection.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// Errors of answers that must not be passed on.
 var (
-	ErrNotSent  = errors.New("nothing was sent")
 	ErrForeign  = errors.New("the answer belongs to another request")
 	ErrEncoding = errors.New("the answer is encoded")
 )
@@ -107,7 +117,7 @@
 func (p *Pool) Do(ctx context.Context, r Request) (*Answer, error) {
 	c, err := p.connect(ctx, r)
 	if err != nil {
-		return nil, errors.Annotatef(ErrNotSent, "connect to %s: %v", r.Address, err)
+		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	a, err := p.exchange(c, r)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -107,7 +108,7 @@
 	if ran {
 		return refuse(http.StatusBadGateway, "the outcome is unknown: %v", last)
 	}
-	return unavailable(g.backoff(r), "no backend server has run it: %v", last)
+	return unavailable(g.backoff(r, last), "no backend server has run it: %v", last)
 }
 
 // attemptLimit is the number of backend servers that a request may be sent to.
@@ -136,7 +137,7 @@
 	if ran {
 		return refuse(http.StatusBadGateway, "the outcome is unknown, and %v", errors.Cause(err))
 	}
-	return unavailable(g.backoff(r), "%v", errors.Cause(err))
+	return unavailable(g.backoff(r, err), "%v", errors.Cause(err))
 }
 
 // expired returns the final answer at the deadline, or of a caller that left.
@@ -151,18 +152,23 @@
 	if ran {
 		return refuse(http.StatusGatewayTimeout, "the deadline has passed")
 	}
-	return unavailable(g.backoff(r), "the deadline has passed before it was sent")
+	return unavailable(g.backoff(r, nil), "the deadline has passed before it was sent")
 }
 
 // statusCallerLeft stands for the missing answer in logs and metrics.
 const statusCallerLeft = 499
 
-// backoff is when a refused caller should come back: about the time in which a
-// slot becomes free, spread so that callers do not return together.
-func (g *Gateway) backoff(r *request) time.Duration {
-	left := r.deadline - bootclock.Now()
-	d := time.Duration((0.5 + g.random()) * float64(backoffMean))
-	return max(10*time.Millisecond, min(d, left/3))
+// backoff is when a refused caller should come back: when the model expects
+// room, or after about the time in which a slot becomes free; spread so that
+// callers do not return together.
+func (g *Gateway) backoff(r *request, err error) time.Duration {
+	mean := backoffMean
+	var full *fullError
+	if errors.As(err, &full) {
+		mean = max(mean, time.Duration(full.untilMs*float64(time.Millisecond)))
+	}
+	d := time.Duration((0.7 + 0.6*g.random()) * float64(mean))
+	return max(10*time.Millisecond, min(d, (r.deadline-bootclock.Now())/3))
 }
 
 // backoffMean is the mean time after which a refused caller comes back: about
@@ -244,16 +250,21 @@
 func (a *attempt) noAnswer(err error, silence *watch) verdict {
 	a.err = err
 	now := bootclock.Now()
+	var notSent *exchange.NotSentError
 	switch {
-	case errors.Is(err, exchange.ErrNotSent):
+	case errors.As(err, &notSent):
 		a.sent = 0
 		if a.r.http.Context().Err() != nil {
 			return callerGone
 		}
-		a.g.health.note(a.pick.job.backend, outcomeUnreachable, now)
+		o := outcomeUnreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			o = outcomeDead
+		}
+		a.g.health.note(a.pick.job.backend, o, now)
 		return notRun
 	case silence.fired():
-		a.g.health.note(a.pick.job.backend, outcomeUnreachable, now)
+		a.noteSilence(now)
 		return mayHaveRun
 	case a.r.http.Context().Err() != nil || a.r.deadline-now <= answerMargin:
 		return callerGone
@@ -262,6 +273,16 @@
 	return mayHaveRun
 }
 
+// noteSilence judges a backend server that gave no answer in time. One that has
+// given other signs of life is slow and no more.
+func (a *attempt) noteSilence(now time.Duration) {
+	o := outcomeUnreachable
+	if now-a.g.health.lastSign(a.pick.job.backend) < now-a.sent {
+		o = outcomeFailed
+	}
+	a.g.health.note(a.pick.job.backend, o, now)
+}
+
 // refused handles the statement that the request has not run.
 func (a *attempt) refused(answer *exchange.Answer, info AnswerInfo) verdict {
 	_, err := answer.ReadAll(maxAnswerBytes)
--- a/internal/gateway/book.go
+++ b/internal/gateway/book.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"math"
 	"sync"
 	"time"
 
+	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/enginemodel"
 )
 
@@ -24,6 +26,9 @@
 	others map[string]*share
 	// changed is signalled when the own work has changed.
 	changed chan struct{}
+	// past holds ended work by backend server, for as long as it explains how far
+	// other work has come.
+	past map[uint64][]enginemodel.Work
 	// sends holds the times of requests to cold backend servers.
 	sends map[uint64][]time.Duration
 }
@@ -40,7 +45,7 @@
 func newBook() *book {
 	return &book{
 		own: map[*job]struct{}{}, others: map[string]*share{}, changed: make(chan struct{}, 1),
-		sends: map[uint64][]time.Duration{},
+		sends: map[uint64][]time.Duration{}, past: map[uint64][]enginemodel.Work{},
 	}
 }
 
@@ -54,19 +59,49 @@
 func (b *book) remove(jobs ...*job) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := bootclock.Now()
 	for _, j := range jobs {
-		delete(b.own, j)
+		b.end(j, now)
 	}
 	b.signal()
 }
 
+func (b *book) end(j *job, now time.Duration) {
+	if _, ok := b.own[j]; ok {
+		delete(b.own, j)
+		b.remember(*j, now)
+	}
+}
+
+// pastLifetime is how long ended work is kept: about the time that the longest
+// read takes.
+const pastLifetime = 12 * time.Second
+
+// remember keeps work that has ended. The caller holds the lock.
+func (b *book) remember(j job, now time.Duration) {
+	if j.work.PartTokens <= 0 {
+		return
+	}
+	w := j.work
+	if !w.Writing {
+		w.DoneMs = ms(now)
+	}
+	w.Ended = true
+	list := b.past[j.backend]
+	first := 0
+	for first < len(list) && list[first].DoneMs < ms(now-pastLifetime) {
+		first++
+	}
+	b.past[j.backend] = append(list[first:], w)
+}
+
 // writing notes the first event of a request, and the end of its helpers' work.
 func (b *book) writing(j *job, helpers []*job, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	j.work.Writing, j.work.WritingSinceMs = true, ms(now)
+	j.work.Writing, j.work.DoneMs = true, ms(now)
 	for _, h := range helpers {
-		delete(b.own, h)
+		b.end(h, now)
 	}
 	b.signal()
 }
@@ -93,9 +128,48 @@
 			out[s.jobs[i].backend] = append(out[s.jobs[i].backend], s.jobs[i].work)
 		}
 	}
+	for backend, list := range out {
+		out[backend] = b.withPast(backend, list)
+	}
 	return out
 }
 
+// withPast adds the ended work that was read while some of the list waited.
+func (b *book) withPast(backend uint64, list []enginemodel.Work) []enginemodel.Work {
+	oldest := math.Inf(1)
+	for i := range list {
+		if !list[i].Writing {
+			oldest = min(oldest, list[i].SentMs)
+		}
+	}
+	for _, w := range b.past[backend] {
+		if w.DoneMs > oldest {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// replaceShare takes a newer share over and remembers what has ended since the
+// former one.
+func (b *book) replaceShare(id string, row *share, now time.Duration) {
+	type part struct {
+		request, backend uint64
+	}
+	if old := b.others[id]; old != nil {
+		open := make(map[part]bool, len(row.jobs))
+		for i := range row.jobs {
+			open[part{row.jobs[i].work.Request, row.jobs[i].backend}] = true
+		}
+		for i := range old.jobs {
+			if j := &old.jobs[i]; !open[part{j.work.Request, j.backend}] {
+				b.remember(*j, now)
+			}
+		}
+	}
+	b.others[id] = row
+}
+
 // coldWindow is the window of the limit of cold backend servers.
 const coldWindow = time.Second
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -20,9 +20,20 @@
 var (
 	errNoBackend = errors.New("no backend server is in service")
 	errTooLarge  = errors.New("no backend server can hold the request")
-	errFull      = errors.New("all backend servers are busy beyond the time that the caller waits")
+	errFull      = errors.New("no backend server has memory for the request now")
 )
 
+// fullError says that all backend servers are busy for longer than the caller
+// waits.
+type fullError struct {
+	// untilMs is the predicted time until a request like this is served in time.
+	untilMs float64
+}
+
+func (e *fullError) Error() string {
+	return "all backend servers are busy beyond the time that the caller waits"
+}
+
 const (
 	// silenceAnnouncements is the number of missed announcements after which a
 	// backend server is used only when there is nothing else. Announcements are
@@ -81,7 +92,11 @@
 			continue
 		}
 		silence := silenceAnnouncements * milliseconds(g.settings.AnnounceMs)
-		list = append(list, candidate{row: b, key: key, judge: g.health.judge(b, key, now, silence), works: works[key]})
+		c := candidate{row: b, key: key, judge: g.health.judge(b, key, now, silence), works: works[key]}
+		if c.judge.dead {
+			continue
+		}
+		list = append(list, c)
 	}
 	if len(list) == 0 {
 		return nil, errNoBackend
@@ -121,7 +136,7 @@
 		if slots <= 0 {
 			slots = defaultPlainSlots
 		}
-		x := float64(len(c.works))/slots + 2*c.judge.failureShare + g.random()/1000
+		x := float64(openWorks(c.works))/slots + 2*c.judge.failureShare + g.random()/1000
 		if c.judge.avoid {
 			x += avoidRisk * 10
 		}
@@ -137,7 +152,7 @@
 	}
 	c := list[best]
 	return &pick{
-		backend: c.row, open: len(c.works),
+		backend: c.row, open: openWorks(c.works),
 		job: &job{backend: c.key, sent: now, work: enginemodel.Work{SentMs: ms(now)}},
 	}, nil
 }
@@ -166,8 +181,8 @@
 	if !ok {
 		return nil, errFull
 	}
-	if choice.FirstEventMs > req.AbandonMs {
-		return nil, errFull
+	if choice.FirstEventMs > req.AbandonMs && r.events == 0 {
+		return nil, &fullError{untilMs: choice.FirstEventMs - req.ObjectiveMs}
 	}
 	parts := float64(1 + len(choice.Helpers))
 	first := list[choice.First]
@@ -176,7 +191,7 @@
 		OutputTokens: req.OutputTokens, PauseMs: r.route.PauseMs, ObjectiveMs: r.route.ObjectiveMs, Worth: req.Worth,
 	}
 	p := &pick{
-		backend: first.row, predictedMs: choice.FirstEventMs, open: len(first.works), slowness: first.judge.slowness,
+		backend: first.row, predictedMs: choice.FirstEventMs, open: openWorks(first.works), slowness: first.judge.slowness,
 		job: &job{backend: first.key, sent: now, work: work},
 	}
 	work.Helper = true
@@ -187,6 +202,17 @@
 	return p, nil
 }
 
+// openWorks counts the requests that run.
+func openWorks(works []enginemodel.Work) int {
+	n := 0
+	for i := range works {
+		if !works[i].Ended && !works[i].Helper {
+			n++
+		}
+	}
+	return n
+}
+
 // rank returns the place of a backend server in an order that is the same at all
 // gateways, whichever backend servers each of them knows.
 func rank(key uint64) float64 { return float64(key>>11) / (1 << 53) }
@@ -195,7 +221,8 @@
 func (r *request) placement(now time.Duration) placement.Request {
 	prompt := float64(r.caller.PromptTokens)
 	output := float64(r.outputTokens())
-	elapsed := ms(now - r.arrived)
+	// Callers count from the last event that they have received.
+	elapsed := ms(now - max(r.arrived, r.lastEventAt))
 	req := placement.Request{
 		PromptTokens: prompt, OutputTokens: output, Worth: placement.Worth(prompt, output),
 		ObjectiveMs: max(1, r.route.ObjectiveMs-elapsed), AbandonMs: r.abandonMs() - elapsed,
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberryhub/internal/fleet"
+	"bilberryhub/internal/wirepb"
 )
 
 const (
@@ -15,8 +16,16 @@
 	// reached; it doubles with each further time up to avoidMost.
 	avoidFirst = 700 * time.Millisecond
 	avoidMost  = 8 * time.Second
+	// priorServed are virtual successes that keep a few failures from weighing too
+	// much, and toleratedFailures the share of failures that says nothing: callers
+	// leave, and plain services answer some requests with errors.
+	priorServed       = 5
+	toleratedFailures = 0.15
 	// minSlowSamples is the number of first events before an engine counts as slow.
 	minSlowSamples = 3
+	// minSlowness is the least factor that counts: predictions under load are off by
+	// as much.
+	minSlowness = 1.5
 	// maxSlowness bounds the factor learnt from one first event.
 	maxSlowness = 20
 )
@@ -31,6 +40,8 @@
 	outcomeFailed
 	// outcomeUnreachable is a failed connection or silence.
 	outcomeUnreachable
+	// outcomeDead is a refused connection.
+	outcomeDead
 	// outcomeBusy is a refusal without run.
 	outcomeBusy
 )
@@ -47,6 +58,10 @@
 	slowness float64
 	samples  int
 	slowAt   time.Duration
+	// deadAt is when a connection was refused: nothing listens there any more.
+	deadAt time.Duration
+	// heardAvoidUntil is what other gateways have found out.
+	heardAvoidUntil time.Duration
 	// signAt is when anything was last received from it.
 	signAt time.Duration
 }
@@ -83,8 +98,11 @@
 		p.failed++
 	case outcomeBusy:
 		p.failed += 0.5
-	case outcomeUnreachable:
+	case outcomeUnreachable, outcomeDead:
 		p.failed++
+		if o == outcomeDead {
+			p.deadAt = now
+		}
 		p.failedAt = now
 		if now >= p.avoidUntil {
 			p.avoidFor = min(max(avoidFirst, 2*p.avoidFor), avoidMost)
@@ -136,6 +154,8 @@
 
 // judgement is what a choice takes into account.
 type judgement struct {
+	// dead is set where nothing listened after the last announcement.
+	dead bool
 	// avoid is set where it should be used only when there is nothing else.
 	avoid bool
 	// failureShare is the share of the requests that are expected to fail.
@@ -157,17 +177,54 @@
 		return j
 	}
 	p.decay(now)
-	if now < p.avoidUntil {
+	j.dead = p.deadAt > 0 && b.SeenAt <= p.deadAt
+	if now < max(p.avoidUntil, p.heardAvoidUntil) {
 		j.avoid = true
 	}
-	// Two virtual successes keep one failure from weighing too much.
-	j.failureShare = p.failed / (p.failed + p.served + 2)
-	if p.samples >= minSlowSamples && now-p.slowAt < 2*failureHalfLife {
-		j.slowness = max(1, p.slowness)
+	j.failureShare = max(0, p.failed/(p.failed+p.served+priorServed)-toleratedFailures)
+	if s := p.ownSlowness(now); s > 1 {
+		j.slowness = s
 	}
 	return j
 }
 
+// ownSlowness returns the factor learnt here, or 1.
+func (p *patient) ownSlowness(now time.Duration) float64 {
+	if p.samples < minSlowSamples || now-p.slowAt > 2*failureHalfLife {
+		return 1
+	}
+	if p.slowness < minSlowness {
+		return 1
+	}
+	return p.slowness
+}
+
+
+// verdicts returns what the other gateways should know.
+func (h *health) verdicts(now time.Duration) []*wirepb.Verdict {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []*wirepb.Verdict
+	for backend, p := range h.rows {
+		if left := (p.avoidUntil - now).Milliseconds(); left > 0 {
+			out = append(out, &wirepb.Verdict{Backend: backend, AvoidMs: uint32(left)})
+		}
+	}
+	return out
+}
+
+// hear takes the verdicts of another gateway over. They count for as long as a
+// share does, so that a wrong one ends with its sender.
+func (h *health) hear(list []*wirepb.Verdict, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, v := range list {
+		p := h.row(v.GetBackend())
+		avoid := min(milliseconds(int64(v.GetAvoidMs())), shareLifetime)
+		p.heardAvoidUntil = max(p.heardAvoidUntil, now+avoid)
+	}
+}
+
 // keep drops the rows of backend servers that are not listed.
 func (h *health) keep(keys map[uint64]bool) {
 	h.mu.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,8 @@
 	backend  string
 	events   int
 	firstMs  float64
+	// lastEventAt is when the last event was sent to the caller.
+	lastEventAt time.Duration
 }
 
 // abandonMs is how long the caller waits for the first event.
@@ -150,9 +152,9 @@
 	return g.readBody(r)
 }
 
-// retryAfterStart is how long callers should wait for a process that is still
-// learning: state processes send everything at once after the connection.
-const retryAfterStart = 300 * time.Millisecond
+// retryAfterStart is how long callers should wait for a process that does not
+// know the configuration: an election and a subscription take about a second.
+const retryAfterStart = 1200 * time.Millisecond
 
 // route finds the route and the account of a request.
 func (g *Gateway) route(r *request) error {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -76,7 +76,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := bootclock.Now()
-	s := &wirepb.LoadShare{Gateway: g.settings.ID, Incarnation: g.incarnation, Sequence: sequence}
+	s := &wirepb.LoadShare{
+		Gateway: g.settings.ID, Incarnation: g.incarnation, Sequence: sequence, Verdicts: g.health.verdicts(now),
+	}
 	for j := range b.own {
 		if len(s.Running) == maxSharedJobs {
 			break
@@ -88,7 +90,7 @@
 			Request: j.work.Request,
 		}
 		if j.work.Writing {
-			r.WritingMs = uint32(max(0, ms(now)-j.work.WritingSinceMs))
+			r.WritingMs = uint32(max(0, ms(now)-j.work.DoneMs))
 		}
 		s.Running = append(s.Running, r)
 	}
@@ -122,6 +124,7 @@
 func (g *Gateway) takeShare(s *wirepb.LoadShare) {
 	now := bootclock.Now()
 	g.members.heard(s.GetGateway(), now)
+	g.health.hear(s.GetVerdicts(), now)
 	b := g.book
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -135,11 +138,13 @@
 		w := enginemodel.Work{
 			Request: r.GetRequest(), SentMs: ms(sent), PromptTokens: float64(r.GetPromptTokens()), PartTokens: float64(r.GetPartTokens()),
 			OutputTokens: float64(r.GetOutputTokens()), Writing: r.GetWriting(), Helper: r.GetHelper(),
-			WritingSinceMs: ms(now - milliseconds(int64(r.GetWritingMs()))),
-			PauseMs:        float64(r.GetPauseMs()), ObjectiveMs: float64(r.GetObjectiveMs()),
+			PauseMs: float64(r.GetPauseMs()), ObjectiveMs: float64(r.GetObjectiveMs()),
+		}
+		if w.Writing {
+			w.DoneMs = ms(now - milliseconds(int64(r.GetWritingMs())))
 		}
 		w.Worth = worthOf(w)
 		row.jobs = append(row.jobs, job{backend: r.GetBackend(), sent: sent, work: w})
 	}
-	b.others[s.GetGateway()] = row
+	b.replaceShare(s.GetGateway(), row, now)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -154,6 +154,7 @@
 func (a *attempt) forward(answer *exchange.Answer, event []byte) error {
 	a.begin(answer)
 	a.r.events++
+	a.r.lastEventAt = bootclock.Now()
 	controller := http.NewResponseController(a.r.w)
 	_ = controller.SetWriteDeadline(time.Now().Add(a.r.deadline - bootclock.Now() + answerMargin))
 	if _, err := a.r.w.Write(event); err != nil {
@@ -189,7 +190,7 @@
 	case a.r.http.Context().Err() != nil:
 		return callerGone
 	case silence.fired():
-		a.g.health.note(a.pick.job.backend, outcomeUnreachable, now)
+		a.noteSilence(now)
 		return mayHaveRun
 	case a.r.deadline-now <= answerMargin:
 		return callerGone
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,6 +28,9 @@
 	// units of worth. Short reads fill engines from one end and long ones from the
 	// other, so that few engines have both.
 	rankWorth = 0.35
+	// cleanWorth is the price of the first answer at an engine that only reads, as
+	// a share of the request's worth.
+	cleanWorth = 0.05
 	// shortReadMs divides short from long reads: a long one breaks the pauses that
 	// callers of short answers accept.
 	shortReadMs = 160
@@ -42,9 +45,13 @@
 	coldWorth = 0.1
 	// splitWorth is the price of each helper, for its disturbance of requests
 	// that arrive during the read.
-	splitWorth = 0.004
+	splitWorth = 0.0005
 	// queuePlaces is how many requests may wait at an engine beyond its slots.
 	queuePlaces = 8
+	// earlyWorth is what an objective's time is worth within the objective, as a
+	// share of the request's worth: a read that ends earlier leaves the engines to
+	// those that follow.
+	earlyWorth = 0.08
 	// minPartTokens is the smallest part worth a helper. A part goes ahead of the
 	// reads that wait at an engine, so that it may help a short prompt as well.
 	minPartTokens = 1_000
@@ -102,6 +109,8 @@
 	Engine
 	// price is what the engine itself costs, cost also what is lost there.
 	first, price, cost float64
+	// home is the price of writing the answer there.
+	home float64
 }
 
 // Choose returns the best placement, or false when no engine can hold the
@@ -133,7 +142,9 @@
 			rows = append(rows, s)
 			continue
 		}
-		s.cost += slotCost(r, e)
+		home := homeCost(spec, r, e)
+		s.cost += home
+		s.home = home
 		rows = append(rows, s)
 		if first < 0 || s.cost < rows[first].cost {
 			first = len(rows) - 1
@@ -146,8 +157,11 @@
 	c := Choice{First: rows[first].Index}
 	c.add(r, rows[first], part, now, harm)
 	c.FirstEventMs += slotWaitMs(r, rows[first].Engine)
-	c.LossWorth += slotCost(r, rows[first].Engine)
+	c.LossWorth += rows[first].home
 	rows = slices.Delete(rows, first, first+1)
+	for i := range rows {
+		rows[i].cost -= rows[i].home
+	}
 	slices.SortFunc(rows, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
 	for _, s := range rows {
 		if len(c.Helpers) == parts-1 {
@@ -179,11 +193,7 @@
 // score returns what a part at one engine costs.
 func score(spec *manifest.Engine, r Request, e Engine, part, now float64) scored {
 	s := scored{Engine: e, first: e.Load.FirstEventMs(r.PromptTokens, part)}
-	rank := e.Rank
-	if enginemodel.ReadMs(spec, r.PromptTokens, r.PromptTokens) > shortReadMs {
-		rank = 1 - rank
-	}
-	s.price = e.Risk + rankWorth*rank*part/r.PromptTokens
+	s.price = e.Risk
 	if e.Far {
 		s.price += farWorth * r.Worth
 	}
@@ -204,13 +214,23 @@
 	return float64(over) * e.Load.WriteMs(r.OutputTokens) / float64(e.Slots)
 }
 
-// slotCost is the price of taking a slot of an engine that is nearly full.
-func slotCost(r Request, e Engine) float64 {
-	over := float64(e.Load.Open) - fullShare*float64(e.Slots)
-	if over < 0 {
-		return 0
+// homeCost is the price of writing the answer at an engine. While an engine
+// writes, each read there makes its callers pause, so answers are kept together:
+// short ones at one end of the common order, long ones at the other.
+func homeCost(spec *manifest.Engine, r Request, e Engine) float64 {
+	rank := e.Rank
+	long := enginemodel.ReadMs(spec, r.PromptTokens, r.PromptTokens) > shortReadMs
+	if long {
+		rank = 1 - rank
+	}
+	cost := rankWorth * rank
+	if long && e.Load.Open == 0 {
+		cost += cleanWorth * r.Worth
+	}
+	if over := float64(e.Load.Open) - fullShare*float64(e.Slots); over >= 0 {
+		cost += crowdWorth * r.Worth * (1 + over)
 	}
-	return crowdWorth * r.Worth * (1 + over)
+	return cost
 }
 
 // holds reports whether an engine has a slot and the memory for the request.
@@ -228,7 +248,7 @@
 	late := ramp(ms, 0.6*r.ObjectiveMs, 1.05*r.ObjectiveMs)
 	gone := ramp(ms, 0.7*r.AbandonMs, r.AbandonMs)
 	// A small slope prefers the earlier of two placements in time.
-	return r.Worth * ((1-lateShare)*late + lateShare*gone + 0.01*ms/max(r.ObjectiveMs, 1))
+	return r.Worth * ((1-lateShare)*late + lateShare*gone + earlyWorth*ms/max(r.ObjectiveMs, 1))
 }
 
 // ramp rises from 0 at low to 1 at high.
