Take exclusions from the newest configuration at each attempt

Change: the choice reads the newest configuration. Short requests are refused at once while nearly all places are taken and they would be late; probes are frequent until the configuration is confirmed; dials are given up sooner; verdicts of gateways in other failure domains are not taken over. The recovery time was not measured.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -36,6 +36,9 @@
 const (
 	// probeInterval is how often a state process is asked for a heartbeat.
 	probeInterval = 500 * time.Millisecond
+	// urgentProbeInterval is used while the configuration is unconfirmed, so that
+	// requests are served as soon as a leader is known.
+	urgentProbeInterval = 100 * time.Millisecond
 	// patience is how long a state process may be silent, behind or not fresh.
 	// With an age of up to 0.5 s at the failure, one failover ends before the 3 s
 	// after which a configuration counts as stale.
@@ -271,11 +274,14 @@
 	return err.Error()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// sleep reports false when ctx ended before d.
+func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-t.C:
+		return true
 	}
 }
--- a/internal/configsync/follow.go
+++ b/internal/configsync/follow.go
@@ -71,13 +71,13 @@
 }
 
 func (sub *subscription) sendProbes(ctx context.Context) {
-	t := time.NewTicker(probeInterval)
-	defer t.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		pause := probeInterval
+		if s := sub.syncer; s.Age(s.opts.Now()) > 2*probeInterval {
+			pause = urgentProbeInterval
+		}
+		if !sleep(ctx, pause) {
 			return
-		case <-t.C:
 		}
 		if err := sub.stream.Send(sub.nextProbe()); err != nil {
 			_ = sub.stream.Close()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -29,8 +29,9 @@
 
 const (
 	// dialTimeout bounds a new connection: a round trip and the handshake take a
-	// few ms, and one lost packet is sent again after 200 ms to 1 s.
-	dialTimeout = 700 * time.Millisecond
+	// few ms, and another backend server is tried sooner than a lost packet is
+	// sent again.
+	dialTimeout = 300 * time.Millisecond
 	// defaultIdle is how long a connection without a stated limit is kept.
 	defaultIdle = 3 * time.Second
 	// idleMargin is taken off a stated limit, against a close that is under way.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,6 +23,9 @@
 	defaultMaxAttempts = 2
 	// maxAnswerBytes bounds the answer of a plain service.
 	maxAnswerBytes = 32 << 20
+	// maxChoices bounds the backend servers tried for one request, with those to
+	// which no connection was made.
+	maxChoices = 5
 	// answerMargin is kept of the deadline for the way of the final answer.
 	answerMargin = 20 * time.Millisecond
 	// minAttempt is the least time for which another attempt is worth it.
@@ -74,14 +77,13 @@
 	ran := false
 	var last error
 	for {
-		p, err := g.choose(r.version, r, r.service, r.tried)
+		p, err := g.choose(r, r.service, r.tried)
 		if err != nil {
 			if kept != nil {
 				return g.passOn(r, kept)
 			}
 			return g.notChosen(r, err, ran)
 		}
-		r.attempts++
 		a := &attempt{g: g, r: r, pick: p}
 		v := a.run(ctx)
 		g.book.remove(append(p.helperJobs, p.job)...)
@@ -98,7 +100,7 @@
 		}
 		last = a.err
 		r.tried = append(r.tried, p.backend.ID)
-		if !g.mayRepeat(r, ran) {
+		if len(r.tried) >= maxChoices || !g.mayRepeat(r, a.sent > 0, ran) {
 			break
 		}
 	}
@@ -127,9 +129,12 @@
 }
 
 // mayRepeat reports whether a request may be sent to another backend server, and
-// counts the repeat.
-func (g *Gateway) mayRepeat(r *request, ran bool) bool {
-	return g.repeatable(r, r.attempts+1, ran) && g.budget.take(r.service.Name, g.members.count(), bootclock.Now())
+// counts the repeat where the last one was sent.
+func (g *Gateway) mayRepeat(r *request, sent, ran bool) bool {
+	if !g.repeatable(r, r.attempts+1, ran) {
+		return false
+	}
+	return !sent || g.budget.take(r.service.Name, g.members.count(), bootclock.Now())
 }
 
 // notChosen returns the final answer of a request that found no backend server.
@@ -190,6 +195,7 @@
 	silence := newWatch(cancel, a.firstEventLimit(), a.waitOn)
 	defer silence.stop()
 	a.sent = now
+	r.attempts++
 	answer, err := g.exchanges.Do(ctx, exchange.Request{
 		Address: a.pick.backend.Address, Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
 		Header: g.dialect.EncodeDispatch(r.http, r.caller, a.dispatch(left)), Body: r.body,
@@ -254,6 +260,7 @@
 	switch {
 	case errors.As(err, &notSent):
 		a.sent = 0
+		a.r.attempts--
 		if a.r.http.Context().Err() != nil {
 			return callerGone
 		}
@@ -366,7 +373,7 @@
 		helpers = append(helpers, h.ID)
 	}
 	now := bootclock.Now()
-	g.log.Info("attempt ended", zap.String("request_id", a.r.caller.ID), zap.Int("attempt", a.r.attempts),
+	g.log.Info("attempt ended", zap.String("request_id", a.r.caller.ID), zap.Int("attempt", len(a.r.tried)+1),
 		zap.String("backend_server", a.pick.backend.ID), zap.String("outcome", names[v]), zap.Strings("helpers", helpers),
 		zap.Float64("predicted_ms", a.pick.predictedMs), zap.Int64("prompt_tokens", a.r.caller.PromptTokens),
 		zap.Int("open_there", a.pick.open), zap.Float64("slowness", a.pick.slowness), zap.Int("candidates", a.pick.candidates),
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 
 	"bilberryhub/internal/bootclock"
-	"bilberryhub/internal/config"
 	"bilberryhub/internal/enginemodel"
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/manifest"
@@ -42,6 +41,11 @@
 	// avoidRisk is the share of its worth that a request risks at a backend server
 	// that should be avoided.
 	avoidRisk = 0.9
+	// crowdedShare is the share of the places above which engines count as full,
+	// and lateLimit the multiple of its objective above which a request is then
+	// refused: sooner than making all later ones late.
+	crowdedShare = 0.85
+	lateLimit    = 1.2
 	// defaultPlainSlots is assumed where a backend server states no slots.
 	defaultPlainSlots = 8
 	// defaultOutputTokens is assumed where a caller states none.
@@ -72,9 +76,12 @@
 }
 
 // choose picks a backend server for a request and enters its work. Excluded are
-// backend servers, by id, that have been tried.
-func (g *Gateway) choose(v *config.Version, r *request, service *manifest.RoutedService, excluded []string) (*pick, error) {
+// backend servers, by id, that have been tried. What is out of service is taken
+// from the newest configuration: a request may be sent again long after it was
+// admitted.
+func (g *Gateway) choose(r *request, service *manifest.RoutedService, excluded []string) (*pick, error) {
 	rows, gateways := g.members.backends()
+	v := g.sync.Current()
 	g.book.mu.Lock()
 	defer g.book.mu.Unlock()
 	now := bootclock.Now()
@@ -181,7 +188,7 @@
 	if !ok {
 		return nil, errFull
 	}
-	if choice.FirstEventMs > req.AbandonMs && r.events == 0 {
+	if r.events == 0 && (choice.FirstEventMs > req.AbandonMs || (crowded(engines) && choice.FirstEventMs > lateLimit*req.ObjectiveMs)) {
 		return nil, &fullError{untilMs: choice.FirstEventMs - req.ObjectiveMs}
 	}
 	parts := float64(1 + len(choice.Helpers))
@@ -217,6 +224,17 @@
 // gateways, whichever backend servers each of them knows.
 func rank(key uint64) float64 { return float64(key>>11) / (1 << 53) }
 
+// crowded reports whether nearly all places of the engines are taken. A request
+// that is admitted late then makes those that follow late as well.
+func crowded(engines []placement.Engine) bool {
+	open, slots := 0, 0
+	for i := range engines {
+		open += engines[i].Load.Open
+		slots += engines[i].Slots
+	}
+	return float64(open) >= crowdedShare*float64(slots)
+}
+
 // placement returns the request in the terms of the placement.
 func (r *request) placement(now time.Duration) placement.Request {
 	prompt := float64(r.caller.PromptTokens)
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -15,7 +15,7 @@
 	// avoidFirst is how long a backend server is left alone after it could not be
 	// reached; it doubles with each further time up to avoidMost.
 	avoidFirst = 700 * time.Millisecond
-	avoidMost  = 8 * time.Second
+	avoidMost  = 3 * time.Second
 	// priorServed are virtual successes that keep a few failures from weighing too
 	// much, and toleratedFailures the share of failures that says nothing: callers
 	// leave, and plain services answer some requests with errors.
@@ -199,7 +199,6 @@
 	return p.slowness
 }
 
-
 // verdicts returns what the other gateways should know.
 func (h *health) verdicts(now time.Duration) []*wirepb.Verdict {
 	h.mu.Lock()
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -196,13 +196,17 @@
 	row.info, row.seenAt = info, max(row.seenAt, now)
 }
 
-// heard notes a datagram of a gateway.
-func (m *members) heard(id string, now time.Duration) {
+// heard notes a datagram of a gateway, and reports whether the gateway is in the
+// same failure domain.
+func (m *members) heard(id string, now time.Duration) (near bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if row := m.gateways[id]; row != nil {
-		row.seenAt = max(row.seenAt, now)
+	row := m.gateways[id]
+	if row == nil {
+		return false
 	}
+	row.seenAt = max(row.seenAt, now)
+	return row.info.GetFailureDomain() == m.g.settings.FailureDomain
 }
 
 // sweep drops what was not heard of for long.
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -123,8 +123,10 @@
 
 func (g *Gateway) takeShare(s *wirepb.LoadShare) {
 	now := bootclock.Now()
-	g.members.heard(s.GetGateway(), now)
-	g.health.hear(s.GetVerdicts(), now)
+	// From another failure domain the way to a backend server is another one.
+	if g.members.heard(s.GetGateway(), now) {
+		g.health.hear(s.GetVerdicts(), now)
+	}
 	b := g.book
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -139,7 +139,7 @@
 	defer st.Close()
 	defer cancel()
 	wg.Go(func() {
-		for sleep(ctx, configHeartbeatInterval) {
+		for sleep(ctx, s.confirmInterval()) {
 			if st.Send(s.leaderProbe(probes)) != nil {
 				cancel()
 			}
@@ -157,6 +157,15 @@
 	}
 }
 
+// confirmInterval is the pause between two probes to the leader: short while the
+// configuration here is not proven to be in force.
+func (s *Server) confirmInterval() time.Duration {
+	if s.fresh() {
+		return configHeartbeatInterval
+	}
+	return 2 * leaderPoll
+}
+
 // leaderProbe returns a Subscribe message that the leader's heartbeats echo.
 // The highest index asks for heartbeats only.
 func (s *Server) leaderProbe(probes *configsync.Probes[time.Duration]) *wirepb.Envelope {
--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -12,6 +12,10 @@
 	// unackedTimeout ends a connection whose peer acknowledges nothing. A network
 	// partition gives no error, and the takeover of a lost leader waits for it.
 	unackedTimeout = 1500 * time.Millisecond
+	// dialTimeout bounds the wait for one new connection. A packet that is lost or
+	// meets a VM without power is sent again after a second only, so another
+	// attempt is faster.
+	dialTimeout = 500 * time.Millisecond
 	// probeIdle and probeInterval are the smallest values that the socket options
 	// can express.
 	probeIdle     = time.Second
@@ -35,7 +39,7 @@
 
 // Dialer returns a dialer whose connections notice a silent peer.
 func Dialer() *net.Dialer {
-	return &net.Dialer{KeepAliveConfig: probes, Control: setUserTimeout}
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes, Control: setUserTimeout}
 }
 
 // ListenConfig returns a listen configuration whose connections notice a silent
