Let requests wait for the configuration shortly after a start; tests

Cause: after a loss of power every caller that came back was refused for two seconds and had no retry left. Change: for five seconds after its start a gateway holds a request for up to 2.5 s until the configuration is confirmed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/config"
 	"bilberryhub/internal/configsync"
 	"bilberryhub/internal/exchange"
 	"bilberryhub/internal/observe"
@@ -48,6 +49,16 @@
 	maxHeadBytes = 64 << 10
 )
 
+// configuration is what a gateway needs of the configuration; a
+// *configsync.Syncer outside of tests.
+type configuration interface {
+	Current() *config.Version
+	// Age is the time since the configuration was proven to be the newest.
+	Age(now time.Time) time.Duration
+	Run(ctx context.Context)
+	Status() configsync.Status
+}
+
 // Gateway is a running gateway process.
 type Gateway struct {
 	settings    Settings
@@ -55,7 +66,7 @@
 	log         *zap.Logger
 	incarnation uint64
 
-	sync      *configsync.Syncer
+	sync      configuration
 	members   *members
 	book      *book
 	health    *health
@@ -66,6 +77,8 @@
 	ready     *http.Server
 	admin     *observe.Admin
 
+	// started is when the process was set up.
+	started  time.Duration
 	open     atomic.Int64
 	stopping atomic.Bool
 	ctx      context.Context
@@ -76,7 +89,7 @@
 // New returns a gateway that does not listen yet.
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
-		settings: s, dialect: d, log: log, incarnation: rand.Uint64(), book: newBook(), health: newHealth(),
+		settings: s, dialect: d, log: log, started: bootclock.Now(), incarnation: rand.Uint64(), book: newBook(), health: newHealth(),
 		budget: newBudget(s), exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,370 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/wirepb"
+)
+
+func ok(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func TestRequestIsPassedOn(t *testing.T) {
+	s := newSetup(t)
+	s.add("s1", "plain", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		w.Header().Set("X-Seal", "sealed")
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s %s %s %s %s", r.Method, r.RequestURI, body, r.Header.Get("X-Account"), r.Header.Get("X-Server"))
+	})
+	resp, body, err := s.call("/safe/x?y=z%20")
+	if err != nil || body != "POST /safe/x?y=z%20 body account-1 s1" || resp.Header.Get("X-Seal") != "sealed" {
+		t.Fatalf("answer %q, error %v", body, err)
+	}
+}
+
+// A request that may run once only must not be sent again once it was sent, and
+// its refusal must not say that it has not run.
+func TestRequestThatRunsOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		handler http.HandlerFunc
+		status  int
+		sent    int64
+	}{
+		"lost answer":      {drop, http.StatusBadGateway, 1},
+		"failure":          {func(w http.ResponseWriter, r *http.Request) { echo(w, r); w.WriteHeader(500) }, 500, 1},
+		"stranger answer":  {func(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Id", "other") }, http.StatusBadGateway, 1},
+		"not run, retried": {func(w http.ResponseWriter, r *http.Request) { echo(w, r); w.Header().Set("X-Not-Run", "1"); w.WriteHeader(503) }, 503, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			var sent atomic.Int64
+			for _, id := range []string{"s1", "s2", "s3"} {
+				s.add(id, "plain", "a", func(w http.ResponseWriter, r *http.Request) {
+					sent.Add(1)
+					c.handler(w, r)
+				})
+			}
+			body := s.status(c.status, "/once/x")
+			if n := sent.Load(); n != c.sent {
+				t.Fatalf("sent %d times, expected %d", n, c.sent)
+			}
+			if c.status == http.StatusBadGateway && !strings.Contains(body, `"run":"unknown"`) {
+				t.Fatalf("refusal %q, expected an unknown outcome", body)
+			}
+		})
+	}
+}
+
+func TestSafeRequestIsSentAgain(t *testing.T) {
+	s := newSetup(t)
+	s.add("s1", "plain", "a", drop)
+	s.add("s2", "plain", "a", drop)
+	var sent atomic.Int64
+	count := func(w http.ResponseWriter, r *http.Request) { sent.Add(1); drop(w, r) }
+	s.add("s3", "plain", "a", count)
+	s.status(http.StatusBadGateway, "/safe/x")
+	if sent.Load() > 1 {
+		t.Fatal("sent to one backend server twice")
+	}
+	good := newSetup(t)
+	good.add("s1", "plain", "a", drop)
+	good.add("s2", "plain", "a", ok("served"))
+	if body := good.status(http.StatusOK, "/safe/x"); body != "served" {
+		t.Fatalf("answer %q", body)
+	}
+}
+
+// Nothing listens at a backend server: other requests must not find that out
+// again until it announces itself, and the request moves on without a retry.
+func TestDeadBackendServer(t *testing.T) {
+	s := newSetup(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	dead := s.announce("dead", "plain", "a", address)
+	s.add("s2", "plain", "a", ok("served"))
+	for range 20 {
+		s.status(http.StatusOK, "/once/x")
+	}
+	now := bootclock.Now()
+	if !s.g.health.judge(dead, dead.Key(), now, time.Hour).dead {
+		t.Fatal("the dead backend server is still used")
+	}
+	again := *dead
+	again.SeenAt = now + time.Millisecond
+	if s.g.health.judge(&again, dead.Key(), now, time.Hour).dead {
+		t.Fatal("a backend server that has announced itself since is not used")
+	}
+}
+
+func TestBeforeTheFirstConfiguration(t *testing.T) {
+	s := newSetup(t)
+	s.add("s1", "plain", "a", ok("served"))
+	s.config.set(nil, time.Hour)
+	s.status(http.StatusServiceUnavailable, "/safe/x")
+	if s.g.notReady() == "" {
+		t.Fatal("ready without a configuration")
+	}
+}
+
+// Keys and routes are judged only by a configuration that is proven to be in
+// force; an old one must neither accept a key that was taken away nor refuse one
+// that was added.
+func TestAgeOfTheConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		age    time.Duration
+		path   string
+		key    string
+		status int
+	}{
+		{0, "/safe/x", testKey, 200},
+		{0, "/safe/x", "unknown", 401},
+		{0, "/none/x", testKey, 404},
+		{3 * time.Second, "/safe/x", testKey, 200},
+		{3 * time.Second, "/safe/x", "unknown", 503},
+		{3 * time.Second, "/none/x", testKey, 503},
+		{4100 * time.Millisecond, "/safe/x", testKey, 503},
+	} {
+		t.Run(fmt.Sprintf("%s %s after %s", c.path, c.key, c.age), func(t *testing.T) {
+			s := newSetup(t)
+			s.add("s1", "plain", "a", ok("served"))
+			s.config.set(testVersion(t, 1), c.age)
+			s.status(c.status, c.path, "X-Key", c.key)
+		})
+	}
+}
+
+// A failure domain that was taken out of service gets no requests, neither new
+// ones nor the continuation of a stream that was admitted before.
+func TestFailureDomainOutOfService(t *testing.T) {
+	s := newSetup(t)
+	s.add("far", "model", "b", streamOf(s, 1, 6))
+	s.add("near", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		sendEvents(w, 1, 3)
+		s.config.set(testVersion(t, 2, "b"), 0)
+		drop(w, r)
+	})
+	s.config.set(testVersion(t, 1, "b"), 0)
+	// Only the near one may be chosen first; the order for b comes with the break.
+	_, body, err := s.call("/stream/x", "X-Prompt", "100")
+	if err == nil {
+		t.Fatalf("a stream that cannot be continued ended as complete: %q", body)
+	}
+	s.status(http.StatusServiceUnavailable, "/safe/x")
+}
+
+func sendEvents(w http.ResponseWriter, from, to int) {
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// streamOf answers with the events behind Last-Event-Id.
+func streamOf(_ *setup, from, to int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		start := from
+		if last := r.Header.Get("Last-Event-Id"); last != "" {
+			_, _ = fmt.Sscan(last, &start)
+			start++
+		}
+		sendEvents(w, start, to)
+	}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// A resumable stream that breaks off inside an event goes on at another backend
+// server behind the last whole event: nothing is lost, nothing comes twice.
+func TestStreamIsResumed(t *testing.T) {
+	s := newSetup(t)
+	var first atomic.Bool
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			echo(w, r)
+			w.Header().Set("X-Seal", "first")
+			sendEvents(w, 1, 3)
+			_, _ = io.WriteString(w, "id: 4\ndata: tok")
+			_ = http.NewResponseController(w).Flush()
+			drop(w, r)
+			return
+		}
+		w.Header().Set("X-Seal", "second")
+		streamOf(s, 1, 6)(w, r)
+	}
+	s.add("s1", "model", "a", handler)
+	s.add("s2", "model", "a", handler)
+	resp, body, err := s.call("/stream/x", "X-Prompt", "100")
+	if err != nil || body != events(1, 6) {
+		t.Fatalf("stream %q, error %v", body, err)
+	}
+	if seal := resp.Header.Get("X-Seal"); seal != "first" {
+		t.Fatalf("head of the %s answer, expected the first", seal)
+	}
+}
+
+// A stream that may not be resumed breaks off for the caller as well: it must
+// not look complete, and it must not run again.
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	s := newSetup(t)
+	var sent atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		sent.Add(1)
+		echo(w, r)
+		sendEvents(w, 1, 3)
+		drop(w, r)
+	}
+	s.add("s1", "model", "a", handler)
+	s.add("s2", "model", "a", handler)
+	if _, body, err := s.call("/rigid/x", "X-Prompt", "100"); err == nil {
+		t.Fatalf("the stream ended as complete after %q", body)
+	}
+	if n := sent.Load(); n != 1 {
+		t.Fatalf("sent %d times", n)
+	}
+}
+
+// The patience of a caller counts from the last event, not from the arrival: a
+// stream that breaks off late must still be continued.
+func TestLateStreamIsResumed(t *testing.T) {
+	s := newSetup(t)
+	var first atomic.Bool
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if !first.CompareAndSwap(false, true) {
+			streamOf(s, 1, 14)(w, r)
+			return
+		}
+		echo(w, r)
+		for i := 1; i <= 12; i++ {
+			sendEvents(w, i, i)
+			time.Sleep(200 * time.Millisecond)
+		}
+		drop(w, r)
+	}
+	s.add("s1", "model", "a", handler)
+	s.add("s2", "model", "a", handler)
+	if _, body, err := s.call("/stream/x", "X-Prompt", "100", "X-Wait-Ms", "5000"); err != nil || body != events(1, 14) {
+		t.Fatalf("stream %q, error %v", body, err)
+	}
+}
+
+// A backend server that is only slow must not be left while nothing else can go
+// on: cutting its stream would lose the answer.
+func TestSilentStreamIsKeptWithoutAlternative(t *testing.T) {
+	s := newSetup(t)
+	s.g.budget.slack, s.g.budget.ratio = 0, 0
+	s.add("s1", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		sendEvents(w, 1, 2)
+		time.Sleep(1800 * time.Millisecond)
+		sendEvents(w, 3, 4)
+	})
+	if _, body, err := s.call("/stream/x", "X-Prompt", "100"); err != nil || body != events(1, 4) {
+		t.Fatalf("stream %q, error %v", body, err)
+	}
+}
+
+// The caller has left: the backend server must not work on.
+func TestCallerThatLeaves(t *testing.T) {
+	s := newSetup(t)
+	ended := make(chan struct{})
+	s.add("s1", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		sendEvents(w, 1, 1)
+		<-r.Context().Done()
+		close(ended)
+	})
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+"/stream/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	for k, v := range map[string]string{"X-Id": "1", "X-Key": testKey, "X-Wait-Ms": "3000", "X-Prompt": "100"} {
+		r.Header.Set(k, v)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the backend server is still at work half a second later")
+	}
+}
+
+func TestDeadlineGivesAFinalAnswer(t *testing.T) {
+	s := newSetup(t)
+	s.add("s1", "plain", "a", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	began := time.Now()
+	s.status(http.StatusGatewayTimeout, "/once/x", "X-Wait-Ms", "300")
+	if took := time.Since(began); took > 600*time.Millisecond {
+		t.Fatalf("the final answer took %s, the caller waits for 300 ms", took)
+	}
+}
+
+// Retries of one gateway stay within its part of the bound of all.
+func TestBudgetIsShared(t *testing.T) {
+	b := newBudget(Settings{RetryRatio: 0.2, RetrySlack: 90, RetryWindowSeconds: 10})
+	for range 100 {
+		b.request("s", time.Second)
+	}
+	taken := 0
+	for b.take("s", 9, time.Second) {
+		taken++
+	}
+	if bound := 0.2*100 + 90.0/9; float64(taken) > bound {
+		t.Fatalf("%d retries, the part of one gateway of nine is %.0f", taken, bound)
+	}
+	if !b.take("s", 9, 20*time.Second) && !b.has("s", 1, 20*time.Second) {
+		t.Fatal("the window never ends")
+	}
+}
+
+// A cold backend server gets no more than its rate over all gateways.
+func TestColdLimitIsShared(t *testing.T) {
+	s := newSetup(t)
+	for i := range 8 {
+		s.g.members.gateways[fmt.Sprint(i)] = &gatewayRow{info: &wirepb.GatewayInfo{}}
+	}
+	v := testVersion(t, 1)
+	service := v.Manifest.Routing.Service("plain")
+	service.ColdPerSecond = 36
+	cold := s.add("s1", "plain", "a", ok("served"))
+	cold.ColdUntil = bootclock.Now() + time.Minute
+	served := 0
+	for range 40 {
+		r := &request{route: &v.Manifest.Routing.Routes[0], deadline: bootclock.Now() + time.Minute}
+		if _, err := s.g.choose(r, service, nil); err == nil {
+			served++
+		}
+	}
+	if served == 0 || served > 36/9 {
+		t.Fatalf("%d requests within a second, the part of one gateway of nine is 4", served)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -137,6 +137,7 @@
 		return refuse(http.StatusBadRequest, "bad request: %v", err)
 	}
 	r.caller = caller
+	g.awaitStart(r)
 	r.version = g.sync.Current()
 	r.configAge = g.sync.Age(bootclock.Time())
 	if r.version == nil || r.version.Manifest == nil || r.version.Manifest.Routing == nil {
@@ -152,6 +153,33 @@
 	return g.readBody(r)
 }
 
+const (
+	// startTime is the time after its start in which a process may still be
+	// learning the configuration, and startWait how long a request waits for it.
+	// An election and a subscription take about two seconds after a loss of power.
+	startTime = 5 * time.Second
+	startWait = 2500 * time.Millisecond
+	// startWaitShare bounds the wait by the time that the caller has.
+	startWaitShare = 0.4
+	// startPoll is the interval of looks at the configuration meanwhile.
+	startPoll = 20 * time.Millisecond
+)
+
+// awaitStart lets a request wait for the configuration shortly after the start
+// of the process: it is about to arrive, and callers who are refused now would
+// come back later than that.
+func (g *Gateway) awaitStart(r *request) {
+	until := min(r.arrived+startWait, g.started+startTime)
+	if r.caller.WaitFor > 0 {
+		until = min(until, r.arrived+time.Duration(startWaitShare*float64(r.caller.WaitFor)))
+	}
+	for g.notReady() != "" && !g.stopping.Load() && bootclock.Now() < until {
+		if !sleep(r.http.Context(), startPoll) {
+			return
+		}
+	}
+}
+
 // retryAfterStart is how long callers should wait for a process that does not
 // know the configuration: an election and a subscription take about a second.
 const retryAfterStart = 1200 * time.Millisecond
--- /dev/null
+++ b/internal/gateway/setup_test.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/config"
+	"bilberryhub/internal/configsync"
+	"bilberryhub/internal/fleet"
+	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/wirepb"
+)
+
+// testDialect is a plain dialect with its own header names.
+type testDialect struct{}
+
+func (testDialect) DecodeCaller(r *http.Request) (CallerRequest, error) {
+	c := CallerRequest{ID: r.Header.Get("X-Id"), Key: r.Header.Get("X-Key"), LastEvent: r.Header.Get("Last-Event-Id")}
+	n, err := strconv.Atoi(r.Header.Get("X-Wait-Ms"))
+	c.WaitFor = milliseconds(int64(n))
+	c.PromptTokens, _ = strconv.ParseInt(r.Header.Get("X-Prompt"), 10, 64)
+	return c, err
+}
+
+func (testDialect) EncodeDispatch(_ *http.Request, c CallerRequest, d Dispatch) http.Header {
+	h := http.Header{"X-Id": {c.ID}, "X-Server": {d.BackendServer}, "X-Account": {d.Account}}
+	if d.LastEvent != "" {
+		h.Set("Last-Event-Id", d.LastEvent)
+	}
+	return h
+}
+
+func (testDialect) Mine(h http.Header, id string) bool { return h.Get("X-Id") == id }
+
+func (testDialect) DecodeAnswer(_ int, h http.Header) AnswerInfo {
+	return AnswerInfo{NotRun: h.Get("X-Not-Run") != ""}
+}
+
+func (testDialect) AnswerHeader(h http.Header) http.Header { return h.Clone() }
+func (testDialect) EncodeRefusal(http.Header, string)      {}
+func (testDialect) ReadyPath() string                      { return "/ready" }
+
+// testConfig is a configuration that tests change.
+type testConfig struct {
+	mu      sync.Mutex
+	version *config.Version
+	age     time.Duration
+}
+
+func (c *testConfig) Current() *config.Version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+func (c *testConfig) Age(time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.age
+}
+
+func (c *testConfig) Run(context.Context)       {}
+func (c *testConfig) Status() configsync.Status { return configsync.Status{} }
+
+func (c *testConfig) set(version *config.Version, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version, c.age = version, age
+}
+
+const testKey = "key-1"
+
+var testSpec = &manifest.Engine{
+	Slots: 4, CapacityTokens: 100_000, StepMs: 1, ReadTokensPerSecond: 1_000_000, ChunkTokens: 2048, Stride: 10,
+}
+
+// testVersion returns a configuration with a route of each kind. Domains lists
+// the failure domains out of service.
+func testVersion(t *testing.T, index uint64, out ...string) *config.Version {
+	t.Helper()
+	route := func(name string, repeat manifest.Repeat, service string) manifest.Route {
+		return manifest.Route{
+			Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Repeat: repeat, TimeoutMs: 5000, ObjectiveMs: 300,
+			PauseMs: 250, MaxAttempts: 2, Resumable: name == "stream", Targets: []manifest.Target{{Service: service, Weight: 1}},
+		}
+	}
+	doc, err := json.Marshal(map[string]any{"number": 1, "routing": manifest.Routing{
+		Routes: []manifest.Route{
+			route("safe", manifest.RepeatSafe, "plain"), route("once", manifest.RepeatOnce, "plain"),
+			route("stream", manifest.RepeatStream, "model"), route("rigid", manifest.RepeatStream, "model"),
+		},
+		Services: []manifest.RoutedService{{Name: "plain"}, {Name: "model", Engine: testSpec}},
+		Accounts: []manifest.RoutingAccount{{Name: "account-1", KeySHA256: []string{manifest.KeyDigest(testKey)}}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &wirepb.ConfigSnapshot{Index: index, ManifestNumber: 1, Manifest: doc}
+	for _, d := range out {
+		s.Orders = append(s.Orders, &wirepb.Order{Kind: config.TargetFailureDomain, Target: d, Out: true, Number: index})
+	}
+	s.Digest = config.Digest(s)
+	v, err := config.FromSnapshot(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// setup is a gateway with backend servers in this process.
+type setup struct {
+	t      *testing.T
+	g      *Gateway
+	config *testConfig
+	front  *httptest.Server
+}
+
+func newSetup(t *testing.T) *setup {
+	t.Helper()
+	s := Settings{
+		ID: "gateway-1", FailureDomain: "a", RevokeMs: 5000, GraceSeconds: 8, RetryRatio: 1, RetrySlack: 100,
+		RetryWindowSeconds: 10, AnnounceMs: 1000,
+	}
+	g := New(s, testDialect{}, zap.NewNop())
+	c := &testConfig{version: testVersion(t, 1)}
+	g.sync = c
+	// Requests of a fresh process would wait for what the tests leave out.
+	g.started = bootclock.Now() - time.Minute
+	front := httptest.NewServer(g)
+	t.Cleanup(func() {
+		front.Close()
+		g.cancel()
+	})
+	return &setup{t: t, g: g, config: c, front: front}
+}
+
+// add announces a backend server with a handler.
+func (s *setup) add(id, service, domain string, h http.HandlerFunc) *fleet.BackendServer {
+	s.t.Helper()
+	server := httptest.NewServer(h)
+	s.t.Cleanup(server.Close)
+	return s.announce(id, service, domain, strings.TrimPrefix(server.URL, "http://"))
+}
+
+func (s *setup) announce(id, service, domain, address string) *fleet.BackendServer {
+	s.g.members.table.Merge(fleet.BackendServer{
+		ID: id, Service: service, Address: address, FailureDomain: domain, Slots: 4, BornMs: 1, Sequence: 1, SeenAt: bootclock.Now(),
+	})
+	return s.g.members.table.Get(id)
+}
+
+// call sends a request; headers are pairs of name and value.
+func (s *setup) call(path string, headers ...string) (*http.Response, string, error) {
+	s.t.Helper()
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+path, strings.NewReader("body"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Id", fmt.Sprintf("id-%p", r))
+	r.Header.Set("X-Key", testKey)
+	r.Header.Set("X-Wait-Ms", "3000")
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// status sends a request and checks the status of its answer.
+func (s *setup) status(want int, path string, headers ...string) string {
+	s.t.Helper()
+	resp, body, err := s.call(path, headers...)
+	if err != nil {
+		s.t.Fatalf("%s: %v", path, err)
+	}
+	if resp.StatusCode != want {
+		s.t.Fatalf("%s: status %d with %q, expected %d", path, resp.StatusCode, body, want)
+	}
+	return body
+}
+
+func echo(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Id", r.Header.Get("X-Id")) }
+
+// drop closes the connection after the request was read.
+func drop(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = c.Close()
+	}
+}
