Describe the platform, the way from a failed request to its cause, and check names

Change: docs/platform.md is the design note; docs/OPERATIONS.md (renamed) has the settings of gateway and control process and three kinds of failed request with real lines; logs go to standard output through a bounded queue that never blocks; make lint refuses names of the platform outside platform/; a control process that was replaced at another address takes the place of the lost one, with tests.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	  if [ -n "$$out" ]; then echo "gofumpt differs:"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	@bash scripts/lint-names.sh
 
 fmt:
 	$(GO) tool gofumpt -w $$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -1,5 +1,5 @@
 // Command bilberry-entry is the entry process: it takes requests from callers
-// and has them run by backend servers. See docs/operations.md.
+// and has them run by backend servers. See docs/OPERATIONS.md.
 package main
 
 import (
@@ -26,6 +26,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = log.Sync() }()
 	// A signal that arrives during the start must lead to a planned stop as well.
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,10 +43,14 @@
 		status  int
 		sent    int64
 	}{
-		"lost answer":      {drop, http.StatusBadGateway, 1},
-		"failure":          {func(w http.ResponseWriter, r *http.Request) { echo(w, r); w.WriteHeader(500) }, 500, 1},
-		"stranger answer":  {func(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Id", "other") }, http.StatusBadGateway, 1},
-		"not run, retried": {func(w http.ResponseWriter, r *http.Request) { echo(w, r); w.Header().Set("X-Not-Run", "1"); w.WriteHeader(503) }, 503, 2},
+		"lost answer":     {drop, http.StatusBadGateway, 1},
+		"failure":         {func(w http.ResponseWriter, r *http.Request) { echo(w, r); w.WriteHeader(500) }, 500, 1},
+		"stranger answer": {func(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Id", "other") }, http.StatusBadGateway, 1},
+		"not run, retried": {func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(503)
+		}, 503, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSetup(t)
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -22,9 +22,7 @@
 	shareInterval = 500 * time.Millisecond
 	// sharePause collects changes that come together into one datagram.
 	sharePause = 4 * time.Millisecond
-	// maxDatagram bounds a share; work beyond it is left out, the newest last.
-	maxDatagram = 8 << 10
-	// maxSharedJobs keeps a share below maxDatagram at some 55 bytes a job.
+	// maxSharedJobs bounds a datagram to about 8 KiB, at some 55 bytes a job.
 	maxSharedJobs = 140
 )
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -28,10 +29,8 @@
 	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	// Sampling would drop lines that name single requests.
 	cfg.Sampling = nil
-	log, err := cfg.Build(zap.Fields(zap.String("process", process), zap.String("id", id)))
-	if err != nil {
-		return nil, errors.Annotate(err, "build logger")
-	}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg.EncoderConfig), newQueue(os.Stdout), cfg.Level)
+	log := zap.New(core, zap.Fields(zap.String("process", process), zap.String("id", id)))
 	zap.ReplaceGlobals(log)
 	return log, nil
 }
--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -28,8 +28,10 @@
 	dir      string
 	replicas []ReplicaConfig
 	entries  uint64
-	timeout  time.Duration
-	servers  map[string]*Server
+	// target is the number of voters that leaders keep; 0 means all replicas.
+	target  int
+	timeout time.Duration
+	servers map[string]*Server
 
 	mu    sync.Mutex
 	cut   map[string]bool // "from>to"
@@ -71,7 +73,7 @@
 	c.t.Helper()
 	set := Settings{
 		ID: name, AdminListen: "127.0.0.1:0", DataDir: filepath.Join(c.dir, name), Replicas: c.replicas,
-		LogLevel: "info", SnapshotEntries: c.entries,
+		LogLevel: "info", SnapshotEntries: c.entries, TargetVoters: c.target,
 	}
 	r, _ := set.replica(name)
 	set.Listen, set.FailureDomain = r.Address, r.FailureDomain
