Set up the configuration syncer of an entry process before it listens

Cause: TestColdLimitOverAllEntries failed once with a data race: a heartbeat of a peer that arrived between the listener and the rest of the start read the syncer while it was being set (entry/server.go, Start and startSync). Ruled out: the test itself and the load; the race report names both sides. Change: syncer and claims are made in New.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -102,6 +102,12 @@
 	s.abort, s.kill = context.WithCancel(context.Background())
 	s.clients = wire.NewPool(s.wireOptions())
 	s.admin = observe.NewAdmin(s.dump)
+	// Peers may call as soon as the process listens, so what they need exists
+	// before that.
+	s.sync = configsync.New(configsync.Options{
+		EntryID: settings.ID, States: settings.States, Wire: s.wireOptions(), Log: log, OnChange: s.configChanged,
+	})
+	s.claims = claim.New(claim.Options{EntryID: settings.ID, States: settings.States, Wire: s.wireOptions(), Log: log})
 	return s, nil
 }
 
@@ -125,7 +131,7 @@
 	if s.wire, err = wire.Serve(s.settings.WireListen, s.wireOptions(), s.serveCall, s.log); err != nil {
 		return errors.Trace(err)
 	}
-	s.startSync()
+	s.wg.Go(func() { s.sync.Run(s.ctx) })
 	if s.announce, s.announceAddress, err = s.listen(s.settings.AnnounceListen, s.announceMux()); err != nil {
 		return errors.Trace(err)
 	}
@@ -143,17 +149,6 @@
 	return nil
 }
 
-func (s *Server) startSync() {
-	s.sync = configsync.New(configsync.Options{
-		EntryID: s.settings.ID, States: s.settings.States, Wire: s.wireOptions(), Log: s.log,
-		OnChange: s.configChanged,
-	})
-	s.claims = claim.New(claim.Options{
-		EntryID: s.settings.ID, States: s.settings.States, Wire: s.wireOptions(), Log: s.log,
-	})
-	s.wg.Go(func() { s.sync.Run(s.ctx) })
-}
-
 func (s *Server) startControl() {
 	c := &control{server: s, waiters: map[string]chan<- *envelope{}, retries: routing.NewRetryBudget()}
 	seed := s.settings.Seed
