--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -167,6 +167,9 @@
 // room, or after about the time in which a slot becomes free; spread so that
 // callers do not return together.
 func (g *Gateway) backoff(r *request, err error) time.Duration {
+	if errors.Is(err, errTooLarge) {
+		return neverMind
+	}
 	mean := backoffMean
 	var full *fullError
 	if errors.As(err, &full) {
@@ -176,6 +179,10 @@
 	return max(10*time.Millisecond, min(d, (r.deadline-bootclock.Now())/3))
 }
 
+// neverMind tells callers of a request that no backend server can hold not to come
+// back within any deadline: only a larger engine would help.
+const neverMind = time.Hour
+
 // backoffMean is the mean time after which a refused caller comes back: about
 // the time of a short generation.
 const backoffMean = time.Second
