--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -188,11 +188,12 @@
 	if age := c.reportAge(b); age > freshReport {
 		cost += stalePenalty * (age - freshReport).Seconds()
 	}
-	cost += c.baseOf(b).Seconds()
+	base, speed := c.timesFor(b)
+	cost += base.Seconds()
 	if b.plain() {
 		return cost
 	}
-	return cost + (c.workAhead(b)+b.prefillOf(d))/c.speedOf(b)
+	return cost + (c.workAhead(b)+b.prefillOf(d))/speed
 }
 
 // drainQueue grants queued requests in order as long as they can be placed.
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -77,4 +77,25 @@
 func (c *Core) measureSpeed(b *backend, d *dispatch, took time.Duration) {
 	b.meter.add(d.workAhead, min(took, maxSample*d.estimate))
 	b.speed, b.base = b.meter.fit(c.statedSpeed(b))
+	b.measuredAt = c.now
+}
+
+// estimateLifetime is how long the measured times of an idle engine count in the
+// choice. An engine that was measured in a bad moment would otherwise never be
+// chosen again, and so never be measured again.
+const estimateLifetime = 5 * time.Second
+
+// timesFor returns the fixed time and the speed by which an engine is chosen. An
+// idle one without recent samples counts as good as the best one of its pool.
+func (c *Core) timesFor(b *backend) (base time.Duration, speed float64) {
+	base, speed = c.baseOf(b), c.speedOf(b)
+	if b.speed == 0 || c.now-b.measuredAt < estimateLifetime || c.outstanding(b) > 0 {
+		return base, speed
+	}
+	for _, other := range b.pool.order {
+		if ok, _ := c.usable(other); ok {
+			base = min(base, c.baseOf(other))
+		}
+	}
+	return base, max(speed, c.statedSpeed(b))
 }
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -67,6 +67,8 @@
 	open       map[string]*dispatch
 	cache      prefixCache
 	meter      speedometer
+	// measuredAt is when the last sample was taken.
+	measuredAt time.Duration
 	speed      float64       // measured prefill speed, in tokens/s; zero if unknown
 	base       time.Duration // measured fixed time to a first token
 	stated     float64       // prefill speed by the load report, in tokens/s
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -201,6 +201,13 @@
 	// works; the timer ends an attempt without progress.
 	silence := newWatch(cancel, a.firstEventLimit(), a.waitOn)
 	defer silence.stop()
+	if len(a.pick.tickets) > 0 {
+		if a.err = a.reserve(ctx); a.err != nil {
+			return notRun
+		}
+		defer g.release(r.caller.ID, a.pick.tickets)
+		go a.renew(ctx)
+	}
 	a.sent = now
 	r.attempts++
 	answer, err := g.exchanges.Do(ctx, exchange.Request{
@@ -231,8 +238,12 @@
 	if a.r.account != nil {
 		d.Account = a.r.account.Name
 	}
-	for _, h := range a.pick.helpers {
-		d.Helpers = append(d.Helpers, h.Address)
+	for i, h := range a.pick.helpers {
+		helper := Helper{Address: h.Address}
+		if i < len(a.pick.tickets) {
+			helper.Ticket = a.pick.tickets[i].id
+		}
+		d.Helpers = append(d.Helpers, helper)
 	}
 	return d
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -46,6 +48,10 @@
 	// refused: sooner than making all later ones late.
 	crowdedShare = 0.85
 	lateLimit    = 1.2
+	// maxJointLoss is the share of its worth that a prompt larger than one engine
+	// may cost in all. Its reading takes an engine's time of half a minute, so it is
+	// admitted while the fleet has room for it only.
+	maxJointLoss = 0.15
 	// defaultPlainSlots is assumed where a backend server states no slots.
 	defaultPlainSlots = 8
 	// defaultOutputTokens is assumed where a caller states none.
@@ -58,6 +64,8 @@
 type pick struct {
 	backend *fleet.BackendServer
 	helpers []*fleet.BackendServer
+	// tickets are the reservations of the first helpers.
+	tickets []ticket
 	// predictedMs is the predicted time to the first event; 0 for plain services.
 	predictedMs float64
 	job         *job
@@ -181,7 +189,7 @@
 		}
 		engines = append(engines, e)
 	}
-	if req.PromptTokens+req.OutputTokens > float64(spec.CapacityTokens) {
+	if req.PromptTokens+req.OutputTokens > float64(spec.CapacityTokens)*float64(min(len(list), placement.MaxHelpers+1)) {
 		return nil, errTooLarge
 	}
 	choice, ok := placement.Choose(spec, req, engines, ms(now))
@@ -191,18 +199,29 @@
 	if r.events == 0 && (choice.FirstEventMs > req.AbandonMs || (crowded(engines) && choice.FirstEventMs > lateLimit*req.ObjectiveMs)) {
 		return nil, &fullError{untilMs: choice.FirstEventMs - req.ObjectiveMs}
 	}
+	if choice.Holders > 0 && r.events == 0 && choice.LossWorth > maxJointLoss*req.Worth {
+		return nil, &fullError{untilMs: choice.FirstEventMs}
+	}
 	parts := float64(1 + len(choice.Helpers))
 	first := list[choice.First]
 	work := enginemodel.Work{
 		Request: xxhash.Sum64String(r.caller.ID), SentMs: ms(now), PromptTokens: req.PromptTokens, PartTokens: req.PromptTokens / parts,
 		OutputTokens: req.OutputTokens, PauseMs: r.route.PauseMs, ObjectiveMs: r.route.ObjectiveMs, Worth: req.Worth,
 	}
+	work.HeldTokens = choice.HeldTokens * float64(choice.Holders)
 	p := &pick{
 		backend: first.row, predictedMs: choice.FirstEventMs, open: openWorks(first.works), slowness: first.judge.slowness,
 		job: &job{backend: first.key, sent: now, work: work},
 	}
 	work.Helper = true
-	for _, i := range choice.Helpers {
+	for n, i := range choice.Helpers {
+		work.HeldTokens = 0
+		if n < choice.Holders {
+			work.HeldTokens = choice.HeldTokens
+			p.tickets = append(p.tickets, ticket{
+				id: fmt.Sprintf("%016x-%d", rand.Uint64(), n), holder: list[i].row, tokens: int64(choice.HeldTokens),
+			})
+		}
 		p.helpers = append(p.helpers, list[i].row)
 		p.helperJobs = append(p.helperJobs, &job{backend: list[i].key, sent: now, work: work})
 	}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -32,8 +32,15 @@
 	Urgency int
 	// LastEvent continues a stream behind this event.
 	LastEvent string
-	// Helpers are the addresses of backend servers that read parts.
-	Helpers []string
+	// Helpers are the backend servers that read parts.
+	Helpers []Helper
+}
+
+// Helper is a backend server that reads a part of a prompt.
+type Helper struct {
+	Address string
+	// Ticket names memory that is reserved there; empty if there is none.
+	Ticket string
 }
 
 // AnswerInfo is what the head of an answer says.
@@ -64,6 +71,11 @@
 	AnswerHeader(h http.Header) http.Header
 	// EncodeRefusal adds what a caller expects of a refusal by the gateway.
 	EncodeRefusal(h http.Header, id string)
+	// ReserveCall and ReleaseCall return the target and body of calls to a backend
+	// server that set memory aside and give it back, OrderHeader their head.
+	ReserveCall(id string, tokens int64, hold time.Duration) (target string, body []byte)
+	ReleaseCall(id string) (target string, body []byte)
+	OrderHeader(backendServer string) http.Header
 	// ReadyPath is where the balancer asks.
 	ReadyPath() string
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -376,3 +376,46 @@
 		t.Fatalf("%d requests within a second, the part of one gateway of nine is 4", served)
 	}
 }
+
+// A prompt larger than one engine uses memory that others set aside, and gives it
+// back at its end, also when it fails.
+func TestReservedMemoryIsGivenBack(t *testing.T) {
+	for name, handler := range map[string]func(s *setup) http.HandlerFunc{
+		"served": func(s *setup) http.HandlerFunc { return streamOf(s, 1, 3) },
+		"broken": func(*setup) http.HandlerFunc { return drop },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			var reserved, released, ticketed atomic.Int64
+			run := handler(s)
+			for _, id := range []string{"s1", "s2", "s3"} {
+				s.add(id, "model", "a", func(w http.ResponseWriter, r *http.Request) {
+					switch {
+					case strings.HasPrefix(r.URL.Path, "/reserve/"):
+						reserved.Add(1)
+					case strings.HasPrefix(r.URL.Path, "/release/"):
+						released.Add(1)
+					default:
+						for _, helper := range r.Header.Values("X-Helper") {
+							if !strings.HasSuffix(helper, "/") {
+								ticketed.Add(1)
+							}
+						}
+						run(w, r)
+					}
+				})
+			}
+			_, _, _ = s.call("/stream/x", "X-Prompt", "150000")
+			if ticketed.Load() == 0 {
+				t.Fatal("no helper has a ticket")
+			}
+			deadline := time.Now().Add(5 * time.Second)
+			for released.Load() < reserved.Load() && time.Now().Before(deadline) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if released.Load() < reserved.Load() {
+				t.Fatalf("%d reservations, %d given back", reserved.Load(), released.Load())
+			}
+		})
+	}
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -45,6 +45,9 @@
 	RetryRatio         float64 `json:"retry_ratio"`
 	RetrySlack         float64 `json:"retry_slack"`
 	RetryWindowSeconds float64 `json:"retry_window_seconds"`
+	// FreeMs is the time within which engines must have reserved memory back after
+	// its last use; 0 means the default.
+	FreeMs int64 `json:"free_ms"`
 	// AnnounceMs is the interval between two announcements of a backend server.
 	AnnounceMs int64 `json:"announce_ms"`
 	// MemoryMB bounds the process; 0 means no bound.
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -39,6 +39,9 @@
 	if d.LastEvent != "" {
 		h.Set("Last-Event-Id", d.LastEvent)
 	}
+	for _, helper := range d.Helpers {
+		h.Add("X-Helper", helper.Address+"/"+helper.Ticket)
+	}
 	return h
 }
 
@@ -50,7 +53,12 @@
 
 func (testDialect) AnswerHeader(h http.Header) http.Header { return h.Clone() }
 func (testDialect) EncodeRefusal(http.Header, string)      {}
-func (testDialect) ReadyPath() string                      { return "/ready" }
+func (testDialect) OrderHeader(string) http.Header         { return http.Header{} }
+func (testDialect) ReleaseCall(id string) (string, []byte) { return "/release/" + id, nil }
+func (testDialect) ReserveCall(id string, _ int64, _ time.Duration) (string, []byte) {
+	return "/reserve/" + id, nil
+}
+func (testDialect) ReadyPath() string { return "/ready" }
 
 // testConfig is a configuration that tests change.
 type testConfig struct {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -85,7 +85,7 @@
 			Backend: j.backend, AgeMs: uint32(max(0, now-j.sent).Milliseconds()), PromptTokens: uint32(j.work.PromptTokens),
 			PartTokens: uint32(j.work.PartTokens), OutputTokens: uint32(j.work.OutputTokens), Writing: j.work.Writing,
 			PauseMs: uint32(j.work.PauseMs), ObjectiveMs: uint32(j.work.ObjectiveMs), Helper: j.work.Helper,
-			Request: j.work.Request,
+			Request: j.work.Request, HeldTokens: uint32(j.work.HeldTokens),
 		}
 		if j.work.Writing {
 			r.WritingMs = uint32(max(0, ms(now)-j.work.DoneMs))
@@ -136,7 +136,7 @@
 	for _, r := range s.GetRunning() {
 		sent := now - milliseconds(int64(r.GetAgeMs()))
 		w := enginemodel.Work{
-			Request: r.GetRequest(), SentMs: ms(sent), PromptTokens: float64(r.GetPromptTokens()), PartTokens: float64(r.GetPartTokens()),
+			Request: r.GetRequest(), HeldTokens: float64(r.GetHeldTokens()), SentMs: ms(sent), PromptTokens: float64(r.GetPromptTokens()), PartTokens: float64(r.GetPartTokens()),
 			OutputTokens: float64(r.GetOutputTokens()), Writing: r.GetWriting(), Helper: r.GetHelper(),
 			PauseMs: float64(r.GetPauseMs()), ObjectiveMs: float64(r.GetObjectiveMs()),
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -87,6 +87,10 @@
 	// First runs the request; Helpers read parts of the prompt.
 	First   int
 	Helpers []int
+	// Holders is the number of helpers, from the first one on, that hold
+	// HeldTokens of the prompt's memory each.
+	Holders    int
+	HeldTokens float64
 	// FirstEventMs is the predicted time to the first event.
 	FirstEventMs float64
 	// LossWorth is what the decision costs in worth.
@@ -117,7 +121,11 @@
 // request.
 func Choose(spec *manifest.Engine, r Request, engines []Engine, now float64) (Choice, bool) {
 	best, found := Choice{LossWorth: math.Inf(1)}, false
+	holders, held := r.split(spec)
 	for _, parts := range splits {
+		if parts < holders+1 {
+			continue
+		}
 		if parts > len(engines) || parts > MaxHelpers+1 {
 			break
 		}
@@ -125,7 +133,7 @@
 		if parts > 1 && part < minPartTokens {
 			break
 		}
-		if c, ok := chooseParts(spec, r, engines, parts, part, now); ok && c.LossWorth < best.LossWorth {
+		if c, ok := chooseParts(spec, r, engines, parts, part, now, holders, held); ok && c.LossWorth < best.LossWorth {
 			best, found = c, true
 		}
 	}
@@ -133,12 +141,14 @@
 }
 
 // chooseParts returns the best placement on a given number of engines.
-func chooseParts(spec *manifest.Engine, r Request, engines []Engine, parts int, part, now float64) (Choice, bool) {
+func chooseParts(
+	spec *manifest.Engine, r Request, engines []Engine, parts int, part, now float64, holders int, held float64,
+) (Choice, bool) {
 	rows := make([]scored, 0, len(engines))
 	first := -1
 	for _, e := range engines {
 		s := score(spec, r, e, part, now)
-		if !holds(spec, r, e) {
+		if !holds(spec, r, e, held*float64(holders)) {
 			rows = append(rows, s)
 			continue
 		}
@@ -163,6 +173,10 @@
 		rows[i].cost -= rows[i].home
 	}
 	slices.SortFunc(rows, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
+	if !moveHolders(spec, rows, holders, held) {
+		return Choice{}, false
+	}
+	c.Holders, c.HeldTokens = holders, held
 	for _, s := range rows {
 		if len(c.Helpers) == parts-1 {
 			break
@@ -233,9 +247,41 @@
 	return cost
 }
 
-// holds reports whether an engine has a slot and the memory for the request.
-func holds(spec *manifest.Engine, r Request, e Engine) bool {
-	need := r.PromptTokens + r.OutputTokens
+// memoryShare is the share of an engine's memory that a prompt may need before
+// other engines hold a part of it.
+const memoryShare = 0.97
+
+// split returns how many helpers have to hold memory of a prompt that is larger
+// than one engine, and how many tokens each.
+func (r Request) split(spec *manifest.Engine) (holders int, held float64) {
+	need, capacity := r.PromptTokens+r.OutputTokens, memoryShare*float64(spec.CapacityTokens)
+	if capacity <= 0 || need <= capacity {
+		return 0, 0
+	}
+	engines := math.Ceil(need / capacity)
+	return int(engines) - 1, math.Ceil(r.PromptTokens / engines)
+}
+
+// moveHolders brings helpers with room for a part of the memory to the front, the
+// cheapest first.
+func moveHolders(spec *manifest.Engine, rows []scored, holders int, held float64) bool {
+	found := 0
+	for i := 0; i < len(rows) && found < holders; i++ {
+		if rows[i].Cold || rows[i].Load.MemoryTokens+held > float64(spec.CapacityTokens) {
+			continue
+		}
+		row := rows[i]
+		copy(rows[found+1:i+1], rows[found:i])
+		rows[found] = row
+		found++
+	}
+	return found == holders
+}
+
+// holds reports whether an engine has a place and the memory for the request,
+// less what other engines hold.
+func holds(spec *manifest.Engine, r Request, e Engine, elsewhere float64) bool {
+	need := r.PromptTokens + r.OutputTokens - elsewhere
 	if float64(spec.CapacityTokens) < need {
 		return false
 	}
