Avoid a failure domain that is cut off from a gateway as a whole

Change: two silent backend servers within two seconds make the others of their failure domain be avoided, until one is reached; callers whose key cannot be checked are told to come back after 2.5 s.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -220,6 +220,7 @@
 		return a.noAnswer(err, silence)
 	}
 	defer answer.Close()
+	g.health.noteReached(a.pick.backend.FailureDomain)
 	info := g.dialect.DecodeAnswer(answer.Status, answer.Header)
 	if info.NotRun {
 		return a.refused(answer, info)
@@ -285,6 +286,8 @@
 		o := outcomeUnreachable
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			o = outcomeDead
+		} else {
+			a.g.health.noteSilent(a.pick.backend.FailureDomain, a.pick.job.backend, now)
 		}
 		a.g.health.note(a.pick.job.backend, o, now)
 		return notRun
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -184,6 +184,11 @@
 // know the configuration: an election and a subscription take about a second.
 const retryAfterStart = 1200 * time.Millisecond
 
+// retryAfterCut is how long callers should wait for a process that is cut off from
+// the control processes: cuts last some seconds, of which the lease of the keys has
+// covered the first ones.
+const retryAfterCut = 2500 * time.Millisecond
+
 // route finds the route and the account of a request.
 func (g *Gateway) route(r *request) error {
 	routing := r.version.Manifest.Routing
@@ -199,7 +204,7 @@
 	lease := g.settings.keyLease()
 	needsKey := len(routing.Accounts) > 0 && !r.route.Anonymous
 	if lease > 0 && r.configAge > lease && (needsKey || r.caller.Key != "") {
-		return unavailable(retryAfterStart, "keys cannot be checked: the configuration is %s old", r.configAge)
+		return unavailable(retryAfterCut, "keys cannot be checked: the configuration is %s old", r.configAge)
 	}
 	if r.caller.Key != "" {
 		r.account = routing.AccountByKey(r.caller.Key)
