--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -15,9 +15,6 @@
 	WaitFor time.Duration
 	// PromptTokens and OutputTokens are 0 for requests that need no engine.
 	PromptTokens, OutputTokens int64
-	// OutputHint is the caller's estimate of the tokens of the answer, often far
-	// off; 0 if there is none.
-	OutputHint int64
 	// LastEvent is the id of the last event that the caller has, or empty.
 	LastEvent string
 }
@@ -50,8 +47,6 @@
 	NotRun bool
 	// AtFault is the id or address of another backend server at which it failed.
 	AtFault string
-	// ColdFor is how long the backend server stays cold, if it says so.
-	ColdFor time.Duration
 }
 
 // Dialect translates between HTTP messages and the types above. It is the only
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -52,8 +52,6 @@
 	AnnounceMs int64 `json:"announce_ms"`
 	// MemoryMB bounds the process; 0 means no bound.
 	MemoryMB int64 `json:"memory_mb"`
-	// MaxFiles bounds the open descriptors; 0 means the default.
-	MaxFiles int `json:"max_files"`
 }
 
 // Defaults of optional settings.
@@ -62,14 +60,13 @@
 	defaultRetryRatio         = 0.1
 	defaultRetryWindowSeconds = 10
 	defaultAnnounceMs         = 1_000
-	defaultMaxFiles           = 4_096
 )
 
 // LoadSettings reads and checks the settings file at path.
 func LoadSettings(path string) (Settings, error) {
 	s := Settings{
 		LogLevel: "info", GraceSeconds: defaultGraceSeconds, RetryRatio: defaultRetryRatio,
-		RetryWindowSeconds: defaultRetryWindowSeconds, AnnounceMs: defaultAnnounceMs, MaxFiles: defaultMaxFiles,
+		RetryWindowSeconds: defaultRetryWindowSeconds, AnnounceMs: defaultAnnounceMs,
 	}
 	if err := settings.Load(path, schema, &s); err != nil {
 		return s, errors.Trace(err)
