Spread the calls of the killed-claimant test over more time

Change: the calls start over a second, several times the time that one takes. All checks stay, with the one that calls were interrupted.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -373,14 +373,15 @@
 		}
 	}
 	// One half is answered before the kill. It interrupts the other half, whose
-	// calls start over about the time that one takes.
+	// calls start over several times the time that one takes, so that some are
+	// open whenever the kill comes.
 	for i := range keys / 2 {
 		wg.Go(func() { book(i) })
 	}
 	wg.Wait()
 	for i := keys / 2; i < keys; i++ {
 		wg.Go(func() {
-			time.Sleep(time.Duration(i-keys/2) * 10 * time.Millisecond)
+			time.Sleep(time.Duration(i-keys/2) * 50 * time.Millisecond)
 			book(i)
 		})
 	}
