Leave failure domains that are cut off at once, and place long prompts apart

Change: package reach. The shares of its gateways count for 5 s more: their requests go on at engines on this side (one of them made passes of 2.5 s that nobody expected). Replaces the two silent servers within two seconds; TestDomainThatIsCutOff is replaced by the tests of reach (same cases, and the end of a cut by probes). Ruled out: refusals for keys, which come after 4 s only. 2. A short prompt of 8,000 tokens was read by up to eight engines and stalled with each of them. Change: the caller's estimate is used. A long prompt that would cost others nearly its worth waits for a better moment, and the separation of short and long is stronger.

Tests: TestCutMovesStreams took 1.5 s with the move switched off (bound 1 s), TestCutDomainIsLeftOut fails without the kept shares; TestShortPromptHasNoHelpers, TestLongPromptWaitsForABetterMoment, TestExpectedLengthOfAnswers.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -187,6 +187,32 @@
 	return err == nil && quiet
 }
 
+// Probe makes a connection to a backend server and keeps it for a request. It
+// reports why there is none, within the time of a connection for a request.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.connect(ctx, Request{Address: address, Fresh: true})
+	if err != nil {
+		return &NotSentError{Address: address, Err: err}
+	}
+	c.expires = time.Now().Add(probeIdle)
+	p.keep(c)
+	return nil
+}
+
+// probeIdle is how long a connection made by a probe waits for a request: less
+// than any backend server's limit for idle connections, which it has not stated.
+const probeIdle = time.Second
+
+// Drop closes the idle connections to an address.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
 func (p *Pool) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -39,7 +39,9 @@
 	home     *engine
 	works    []*work
 	written  float64
-	lastMs   float64
+	// againMs is when a request that waits is decided about again.
+	againMs float64
+	lastMs  float64
 }
 
 // InTime reports whether a request kept its objectives.
@@ -74,6 +76,8 @@
 	engines []*engine
 	now     float64
 	nextID  uint64
+	// waiting are the requests that no engine has yet.
+	waiting []*Request
 	// Requests are all that have arrived.
 	Requests []*Request
 	// Slots is the number of requests that an engine runs at once.
@@ -93,15 +97,47 @@
 
 // Arrive advances to a time and places a request.
 func (f *Fleet) Arrive(class int, at, prompt, output float64) {
-	f.Advance(at)
+	f.wait(at)
 	f.nextID++
 	r := &Request{Class: class, ArrivedMs: at, PromptTokens: prompt, OutputTokens: output, id: f.nextID}
 	f.Requests = append(f.Requests, r)
-	c := f.Classes[class]
+	f.place(r)
+}
+
+// wait advances to a time and decides again about the requests that wait.
+func (f *Fleet) wait(to float64) {
+	for {
+		first := -1
+		for i, r := range f.waiting {
+			if first < 0 || r.againMs < f.waiting[first].againMs {
+				first = i
+			}
+		}
+		if first < 0 || f.waiting[first].againMs > to {
+			f.Advance(to)
+			return
+		}
+		r := f.waiting[first]
+		f.waiting = slices.Delete(f.waiting, first, first+1)
+		f.Advance(r.againMs)
+		f.place(r)
+	}
+}
+
+// place decides about a request.
+func (f *Fleet) place(r *Request) {
+	at, prompt, output := f.now, r.PromptTokens, r.OutputTokens
+	c := f.Classes[r.Class]
 	worth := placement.Worth(prompt, output)
+	elapsed := at - r.ArrivedMs
 	choice, ok := placement.Choose(f.Spec, placement.Request{
-		PromptTokens: prompt, OutputTokens: output, ObjectiveMs: c.ObjectiveMs, AbandonMs: c.AbandonMs, Worth: worth,
+		PromptTokens: prompt, OutputTokens: output, ObjectiveMs: max(1, c.ObjectiveMs-elapsed), AbandonMs: c.AbandonMs - elapsed, Worth: worth,
 	}, f.view(), at)
+	if ok && choice.Wait {
+		r.againMs = at + placement.WaitStepMs
+		f.waiting = append(f.waiting, r)
+		return
+	}
 	if !ok {
 		r.Refused = true
 		return
--- a/internal/fleetsim/load.go
+++ b/internal/fleetsim/load.go
@@ -37,7 +37,7 @@
 		}
 		start = p.UntilMs
 	}
-	f.Advance(start + 60_000)
+	f.wait(start + 60_000)
 }
 
 func gap(rng *rand.Rand, perSecond float64) float64 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/manifest"
 	"bilberryhub/internal/observe"
+	"bilberryhub/internal/placement"
 )
 
 const (
@@ -61,6 +63,8 @@
 	// firstMs is the time to the first event, and pauseMs the longest pause between
 	// two events.
 	firstMs, pauseMs float64
+	// writing is set from the first event on; also read by others.
+	writing atomic.Bool
 }
 
 // keptAnswer is an answer that is passed on if no better one comes.
@@ -77,7 +81,10 @@
 	ran := false
 	var last error
 	for {
-		p, err := g.choose(r, r.service, r.tried)
+		p, err := g.chooseOrWait(ctx, r)
+		if errors.Is(err, errGone) {
+			return g.expired(ctx, r, ran, kept)
+		}
 		if err != nil {
 			if kept != nil {
 				return g.passOn(r, kept)
@@ -113,6 +120,25 @@
 	return unavailable(g.backoff(r, last), "no backend server has run it: %v", last)
 }
 
+// errGone says that the caller has left, or that its deadline has passed.
+var errGone = errors.New("the caller waits no longer")
+
+// chooseOrWait picks a backend server, at once or as soon as it costs the
+// requests that run there less.
+func (g *Gateway) chooseOrWait(ctx context.Context, r *request) (*pick, error) {
+	for {
+		p, err := g.choose(r, r.service, r.tried)
+		if !errors.Is(err, errLater) {
+			return p, err
+		}
+		step := time.Duration((0.5 + g.random()) * placement.WaitStepMs * float64(time.Millisecond))
+		if !sleep(ctx, step) {
+			return nil, errGone
+		}
+		r.waited += step
+	}
+}
+
 // attemptLimit is the number of backend servers that a request may be sent to.
 func (r *request) attemptLimit() int {
 	if r.route.MaxAttempts > 0 {
@@ -201,6 +227,8 @@
 	// works; the timer ends an attempt without progress.
 	silence := newWatch(cancel, a.firstEventLimit(), a.waitOn)
 	defer silence.stop()
+	g.reachable.begin(a, silence)
+	defer g.reachable.end(a)
 	if len(a.pick.tickets) > 0 {
 		if a.err = a.reserve(ctx); a.err != nil {
 			return notRun
@@ -220,7 +248,7 @@
 		return a.noAnswer(err, silence)
 	}
 	defer answer.Close()
-	g.health.noteReached(a.pick.backend.FailureDomain)
+	g.heard(a.pick.backend.FailureDomain)
 	info := g.dialect.DecodeAnswer(answer.Status, answer.Header)
 	if info.NotRun {
 		return a.refused(answer, info)
@@ -286,9 +314,8 @@
 		o := outcomeUnreachable
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			o = outcomeDead
-		} else {
-			a.g.health.noteSilent(a.pick.backend.FailureDomain, a.pick.job.backend, now)
 		}
+		a.g.notReached(a.pick.backend, a.pick.job.sent)
 		a.g.health.note(a.pick.job.backend, o, now)
 		return notRun
 	case silence.fired():
@@ -396,7 +423,8 @@
 	now := bootclock.Now()
 	g.log.Info("attempt ended", zap.String("request_id", a.r.caller.ID), zap.Int("attempt", len(a.r.tried)+1),
 		zap.String("backend_server", a.pick.backend.ID), zap.String("outcome", names[v]), zap.Strings("helpers", helpers),
-		zap.Float64("predicted_ms", a.pick.predictedMs), zap.Int64("prompt_tokens", a.r.caller.PromptTokens),
+		zap.Float64("predicted_ms", a.pick.predictedMs), zap.Int64("prompt_tokens", a.r.caller.PromptTokens), zap.Float64("waited_ms", ms(a.r.waited)), zap.Int64("output_tokens", a.r.caller.OutputTokens),
+		zap.Int64("expected_output_tokens", a.r.caller.ExpectedOutputTokens),
 		zap.Int("open_there", a.pick.open), zap.Float64("slowness", a.pick.slowness), zap.Int("candidates", a.pick.candidates),
 		zap.Float64("first_event_ms", a.firstMs), zap.Float64("longest_pause_ms", a.pauseMs),
 		zap.Duration("announced_ago", a.pick.job.sent-a.pick.backend.SeenAt), zap.Uint64("config_index", a.r.version.Index),
--- a/internal/gateway/book.go
+++ b/internal/gateway/book.go
@@ -37,10 +37,25 @@
 	incarnation, sequence uint64
 	at                    time.Duration
 	jobs                  []job
+	// cut is set while the sender's failure domain is cut off.
+	cut bool
 }
 
-// shareLifetime is how long a share counts without a newer one: four intervals.
-const shareLifetime = 4 * shareInterval
+const (
+	// shareLifetime is how long a share counts without a newer one: four intervals.
+	shareLifetime = 4 * shareInterval
+	// cutShareLifetime is how long the share of a gateway counts that is cut off:
+	// its requests go on at the engines on this side, which do not notice, for about
+	// the time of an answer.
+	cutShareLifetime = 5 * time.Second
+)
+
+func (s *share) expired(now time.Duration) bool {
+	if s.cut {
+		return now-s.at > cutShareLifetime
+	}
+	return now-s.at > shareLifetime
+}
 
 func newBook() *book {
 	return &book{
@@ -120,7 +135,7 @@
 		out[j.backend] = append(out[j.backend], j.work)
 	}
 	for id, s := range b.others {
-		if now-s.at > shareLifetime {
+		if s.expired(now) {
 			delete(b.others, id)
 			continue
 		}
@@ -150,6 +165,17 @@
 	return list
 }
 
+// cutOff marks the shares of gateways that cannot be heard.
+func (b *book) cutOff(gateways []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range gateways {
+		if s := b.others[id]; s != nil {
+			s.cut = true
+		}
+	}
+}
+
 // replaceShare takes a newer share over and remembers what has ended since the
 // former one.
 func (b *book) replaceShare(id string, row *share, now time.Duration) {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -21,6 +21,7 @@
 var (
 	errNoBackend = errors.New("no backend server is in service")
 	errTooLarge  = errors.New("no backend server can hold the request")
+	errLater     = errors.New("a later moment costs others less")
 	errFull      = errors.New("no backend server has memory for the request now")
 )
 
@@ -47,7 +48,7 @@
 	// and lateLimit the multiple of its objective above which a request is then
 	// refused: sooner than making all later ones late.
 	crowdedShare = 0.85
-	lateLimit    = 1.2
+	lateLimit    = 0.8
 	// maxJointLoss is the share of its worth that a prompt larger than one engine
 	// may cost in all. Its reading takes an engine's time of half a minute, so it is
 	// admitted while the fleet has room for it only.
@@ -94,7 +95,7 @@
 	defer g.book.mu.Unlock()
 	now := bootclock.Now()
 	works := g.book.works(now)
-	var list []candidate
+	var list, cut []candidate
 	for _, b := range rows {
 		if b.Service != service.Name || !b.Usable() || slices.Contains(excluded, b.ID) {
 			continue
@@ -111,8 +112,15 @@
 		if c.judge.dead {
 			continue
 		}
+		if g.reachable.cut(b.FailureDomain) {
+			cut = append(cut, c)
+			continue
+		}
 		list = append(list, c)
 	}
+	if len(list) == 0 {
+		list = cut
+	}
 	if len(list) == 0 {
 		return nil, errNoBackend
 	}
@@ -196,6 +204,9 @@
 	if !ok {
 		return nil, errFull
 	}
+	if choice.Wait && r.attempts == 0 {
+		return nil, errLater
+	}
 	if r.events == 0 && (choice.FirstEventMs > req.AbandonMs || (crowded(engines) && choice.FirstEventMs > lateLimit*req.ObjectiveMs)) {
 		return nil, &fullError{untilMs: choice.FirstEventMs - req.ObjectiveMs}
 	}
@@ -267,10 +278,17 @@
 	return req
 }
 
-// outputTokens estimates the tokens of the answer.
+// outputTokens estimates the tokens of the answer: what the caller expects within
+// what it allows, half of what it allows where it expects nothing.
 func (r *request) outputTokens() int64 {
-	if r.caller.OutputTokens > 0 {
-		return r.caller.OutputTokens
+	most := r.caller.OutputTokens
+	switch expected := r.caller.ExpectedOutputTokens; {
+	case expected > 0 && most > 0:
+		return min(expected, most)
+	case expected > 0:
+		return expected
+	case most > 0:
+		return max(1, most/2)
 	}
 	return defaultOutputTokens
 }
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -14,7 +14,11 @@
 	// WaitFor is how long the caller waits; 0 means that it does not say.
 	WaitFor time.Duration
 	// PromptTokens and OutputTokens are 0 for requests that need no engine.
+	// OutputTokens is the most that the answer may have.
 	PromptTokens, OutputTokens int64
+	// ExpectedOutputTokens is the caller's estimate of the answer's length, right at
+	// the median and often far off; 0 if there is none.
+	ExpectedOutputTokens int64
 	// LastEvent is the id of the last event that the caller has, or empty.
 	LastEvent string
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	book      *book
 	health    *health
 	budget    *budget
+	reachable *reachable
 	exchanges *exchange.Pool
 	udp       *net.UDPConn
 	callers   *http.Server
@@ -90,7 +91,7 @@
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
 		settings: s, dialect: d, log: log, started: bootclock.Now(), incarnation: rand.Uint64(), book: newBook(), health: newHealth(),
-		budget: newBudget(s), exchanges: exchange.NewPool(maxIdleConns),
+		budget: newBudget(s), reachable: newReachable(), exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.members = newMembers(g)
@@ -140,6 +141,7 @@
 	g.wg.Go(func() { g.sendShares(g.ctx) })
 	g.wg.Go(g.receiveShares)
 	g.wg.Go(func() { g.sweep(g.ctx) })
+	g.wg.Go(func() { g.probe(g.ctx) })
 	return g.listen()
 }
 
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -71,51 +71,9 @@
 type health struct {
 	mu   sync.Mutex
 	rows map[uint64]*patient
-	// silent holds when backend servers of a failure domain last gave no answer to
-	// a new connection.
-	silent map[string]map[uint64]time.Duration
 }
 
-func newHealth() *health {
-	return &health{rows: map[uint64]*patient{}, silent: map[string]map[uint64]time.Duration{}}
-}
-
-const (
-	// cutServers is the number of backend servers of one failure domain that must
-	// be silent within cutWindow for the domain to count as cut off from here.
-	cutServers = 2
-	cutWindow  = 2 * time.Second
-)
-
-// noteSilent records that a new connection to a backend server was not answered.
-func (h *health) noteSilent(domain string, backend uint64, now time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.silent[domain] == nil {
-		h.silent[domain] = map[uint64]time.Duration{}
-	}
-	h.silent[domain][backend] = now
-}
-
-// noteReached records that a failure domain can be reached.
-func (h *health) noteReached(domain string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.silent, domain)
-}
-
-// cutOff reports whether a failure domain seems to be cut off from this gateway.
-// Otherwise each request to it would wait for a connection in vain. The caller
-// holds the mutex.
-func (h *health) cutOff(domain string, now time.Duration) bool {
-	n := 0
-	for _, at := range h.silent[domain] {
-		if now-at < cutWindow {
-			n++
-		}
-	}
-	return n >= cutServers
-}
+func newHealth() *health { return &health{rows: map[uint64]*patient{}} }
 
 func (h *health) row(backend uint64) *patient {
 	p := h.rows[backend]
@@ -210,7 +168,7 @@
 func (h *health) judge(b *fleet.BackendServer, key uint64, now, silence time.Duration) judgement {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	j := judgement{slowness: 1, avoid: now-b.SeenAt > silence || h.cutOff(b.FailureDomain, now)}
+	j := judgement{slowness: 1, avoid: now-b.SeenAt > silence}
 	p := h.rows[key]
 	if p == nil {
 		return j
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -196,17 +196,17 @@
 	row.info, row.seenAt = info, max(row.seenAt, now)
 }
 
-// heard notes a datagram of a gateway, and reports whether the gateway is in the
-// same failure domain.
-func (m *members) heard(id string, now time.Duration) (near bool) {
+// heard notes a datagram of a gateway and returns the gateway's failure domain,
+// or nothing for an unknown gateway.
+func (m *members) heard(id string, now time.Duration) (domain string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	row := m.gateways[id]
 	if row == nil {
-		return false
+		return ""
 	}
 	row.seenAt = max(row.seenAt, now)
-	return row.info.GetFailureDomain() == m.g.settings.FailureDomain
+	return row.info.GetFailureDomain()
 }
 
 // sweep drops what was not heard of for long.
@@ -259,6 +259,19 @@
 	return len(m.gateways) + 1
 }
 
+// gatewaysIn returns the known gateways in a failure domain.
+func (m *members) gatewaysIn(domain string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for id, row := range m.gateways {
+		if row.info.GetFailureDomain() == domain {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // addresses returns where datagrams to the other gateways go.
 func (m *members) addresses() []string {
 	m.mu.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,6 +49,8 @@
 	// configAge is the age of the proof of the configuration at the admission.
 	configAge time.Duration
 
+	// waited is the time spent on waiting for a better moment.
+	waited   time.Duration
 	attempts int
 	tried    []string
 	outcome  string
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -121,9 +121,12 @@
 
 func (g *Gateway) takeShare(s *wirepb.LoadShare) {
 	now := bootclock.Now()
-	// From another failure domain the way to a backend server is another one.
-	if g.members.heard(s.GetGateway(), now) {
-		g.health.hear(s.GetVerdicts(), now)
+	if domain := g.members.heard(s.GetGateway(), now); domain != "" {
+		g.heard(domain)
+		// From another failure domain the way to a backend server is another one.
+		if domain == g.settings.FailureDomain {
+			g.health.hear(s.GetVerdicts(), now)
+		}
 	}
 	b := g.book
 	b.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -40,14 +40,15 @@
 
 // watch cancels an attempt without progress, unless waiting on is better.
 type watch struct {
-	timer *time.Timer
-	hit   atomic.Bool
+	timer  *time.Timer
+	cancel func()
+	hit    atomic.Bool
 }
 
 // newWatch cancels after limit; 0 means not before the first reset. Wait returns
 // how much longer to wait, or 0 to cancel now.
 func newWatch(cancel func(), limit time.Duration, wait func() time.Duration) *watch {
-	w := &watch{}
+	w := &watch{cancel: cancel}
 	if limit <= 0 {
 		limit = time.Hour
 	}
@@ -56,12 +57,17 @@
 			w.timer.Reset(more)
 			return
 		}
-		w.hit.Store(true)
-		cancel()
+		w.fire()
 	})
 	return w
 }
 
+// fire cancels the attempt now.
+func (w *watch) fire() {
+	w.hit.Store(true)
+	w.cancel()
+}
+
 func (w *watch) stop() { w.timer.Stop() }
 
 func (w *watch) reset(limit time.Duration) { w.timer.Reset(limit) }
@@ -74,7 +80,7 @@
 func (a *attempt) waitOn() time.Duration {
 	now := bootclock.Now()
 	switch {
-	case !a.g.repeatable(a.r, a.r.attempts+1, true) || !a.g.budget.has(a.r.service.Name, a.g.members.count(), now):
+	case !a.mayMove(now):
 		return time.Hour
 	case now-a.g.health.lastSign(a.pick.job.backend) < aliveWithin:
 		return aliveWithin / 2
@@ -82,6 +88,11 @@
 	return 0
 }
 
+// mayMove reports whether another backend server may go on with the request.
+func (a *attempt) mayMove(now time.Duration) bool {
+	return a.g.repeatable(a.r, a.r.attempts+1, true) && a.g.budget.has(a.r.service.Name, a.g.members.count(), now)
+}
+
 // firstEventLimit is how long the first event is waited for; 0 means until the
 // connection breaks or the deadline passes.
 func (a *attempt) firstEventLimit() time.Duration {
@@ -119,6 +130,7 @@
 		}
 		now := bootclock.Now()
 		a.g.health.sign(a.pick.job.backend, now)
+		a.g.heard(a.pick.backend.FailureDomain)
 		if seen++; seen == 1 {
 			a.firstEvent(now)
 		} else {
@@ -139,6 +151,7 @@
 	a.g.book.writing(a.pick.job, a.pick.helperJobs, now)
 	seenMs := ms(now - a.pick.job.sent)
 	a.firstMs = seenMs
+	a.writing.Store(true)
 	if a.pick.slowness > 0 {
 		a.g.health.noteFirstEvent(a.pick.job.backend, a.pick.predictedMs/a.pick.slowness, seenMs, now)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,12 +27,10 @@
 	// rankWorth is the price of the engines at the far end of the common order, in
 	// units of worth. Short reads fill engines from one end and long ones from the
 	// other, so that few engines have both.
-	rankWorth = 0.35
-	// cleanWorth is the price of the first answer at an engine that only reads, as
-	// a share of the request's worth.
-	cleanWorth = 0.05
+	rankWorth = 0.7
 	// shortReadMs divides short from long reads: a long one breaks the pauses that
-	// callers of short answers accept.
+	// callers of short answers accept. A short one has no helpers: it would gain
+	// little time and depend on every engine that takes part.
 	shortReadMs = 160
 	// farWorth is the price of leaving the own failure domain.
 	farWorth = 0.002
@@ -52,11 +50,23 @@
 	// share of the request's worth: a read that ends earlier leaves the engines to
 	// those that follow.
 	earlyWorth = 0.08
+	// waitMargin is how much more of its worth a long prompt must lose now than after
+	// WaitStepMs for it to wait: little less than all, as many waiting prompts meet
+	// again at the first moment that suits them.
+	waitMargin = 0.8
+	// waitParts is the number of engines that are taken to read a prompt that has
+	// waited, and waitFactor how much longer than the reading alone they need.
+	waitParts  = 8
+	waitFactor = 1.2
 	// minPartTokens is the smallest part worth a helper. A part goes ahead of the
 	// reads that wait at an engine, so that it may help a short prompt as well.
 	minPartTokens = 1_000
 )
 
+// WaitStepMs is the time until a request that waits is decided about again: about
+// one pass of an engine with writers.
+const WaitStepMs = 50.0
+
 // Engine is one candidate.
 type Engine struct {
 	// Index is the caller's reference to the backend server.
@@ -95,6 +105,8 @@
 	FirstEventMs float64
 	// LossWorth is what the decision costs in worth.
 	LossWorth float64
+	// Wait is set when the request loses less by a later decision.
+	Wait bool
 }
 
 // Worth estimates what a generation is worth to callers: they state it in
@@ -129,6 +141,9 @@
 		if parts > len(engines) || parts > MaxHelpers+1 {
 			break
 		}
+		if parts > 1 && holders == 0 && !long(spec, r) {
+			break
+		}
 		part := r.PromptTokens / float64(parts)
 		if parts > 1 && part < minPartTokens {
 			break
@@ -137,9 +152,23 @@
 			best, found = c, true
 		}
 	}
+	best.Wait = found && long(spec, r) && best.LossWorth > r.waitLoss(spec, len(engines))+waitMargin*r.Worth
 	return best, found
 }
 
+// long reports whether one engine needs long for the prompt.
+func long(spec *manifest.Engine, r Request) bool {
+	return enginemodel.ReadMs(spec, r.PromptTokens, r.PromptTokens) > shortReadMs
+}
+
+// waitLoss is what a request loses that waits for WaitStepMs and is then read by
+// many engines that do nothing else.
+func (r Request) waitLoss(spec *manifest.Engine, engines int) float64 {
+	parts := min(float64(engines), waitParts)
+	read := waitFactor * enginemodel.ReadMs(spec, r.PromptTokens, r.PromptTokens) / parts
+	return r.loss(WaitStepMs + read + enginemodel.PassMs(spec, 1, 0))
+}
+
 // chooseParts returns the best placement on a given number of engines.
 func chooseParts(
 	spec *manifest.Engine, r Request, engines []Engine, parts int, part, now float64, holders int, held float64,
@@ -233,14 +262,10 @@
 // short ones at one end of the common order, long ones at the other.
 func homeCost(spec *manifest.Engine, r Request, e Engine) float64 {
 	rank := e.Rank
-	long := enginemodel.ReadMs(spec, r.PromptTokens, r.PromptTokens) > shortReadMs
-	if long {
+	if long(spec, r) {
 		rank = 1 - rank
 	}
 	cost := rankWorth * rank
-	if long && e.Load.Open == 0 {
-		cost += cleanWorth * r.Worth
-	}
 	if over := float64(e.Load.Open) - fullShare*float64(e.Slots); over >= 0 {
 		cost += crowdWorth * r.Worth * (1 + over)
 	}
