Find streams whose start was not reported

Cause: TestResumeThroughAnotherEntry answered 502 once ("no running request of this account has this id", resume after event 0). The dispatcher finds started dispatches only; an entry process that is cut off right after its engine has begun leaves a granted one, whose permit then expires. Ruled out: the engine, which keeps an interrupted stream for 20 s in this test. Change: granted dispatches and those with an expired permit are found as well; an engine refuses what it does not run. Test: TestFindUnreportedStart fails on the code before.

--- a/internal/dispatch/find.go
+++ b/internal/dispatch/find.go
@@ -6,21 +6,26 @@
 	"bilberryhub/internal/wirepb"
 )
 
-// Find returns the started dispatch of a request of the account, for resuming
-// its stream. A dispatch that was interrupted is found for a while after its
-// end, because the backend server may keep what it produced. Find returns nil
+// Find returns the dispatch of a request of the account, for resuming its stream.
+// One whose start was not reported is found as well, because the report may have
+// been lost with the entry process; the backend server refuses what it does not
+// run. A dispatch that was interrupted, or whose permit has expired, is found for
+// a while after that, because the backend server may keep what it produced or run
+// it. Find returns nil
 // when there is none, also when the request belongs to another account. Groups
 // are left out: their streams cannot be resumed.
 func (c *Core) Find(now time.Duration, requestID, account string) *wirepb.FoundDispatch {
 	c.advance(now)
 	for _, d := range c.dispatches {
-		if d.state >= stateStarted && c.resumable(d, requestID, account) {
+		if d.state >= stateGranted && c.resumable(d, requestID, account) {
 			return c.found(d)
 		}
 	}
 	for _, e := range c.ended {
-		if e.interrupted != nil && c.resumable(e.interrupted, requestID, account) {
-			return c.found(e.interrupted)
+		for _, d := range []*dispatch{e.interrupted, e.expired} {
+			if d != nil && c.resumable(d, requestID, account) {
+				return c.found(d)
+			}
 		}
 	}
 	return nil
