--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -277,26 +277,36 @@
 	return d
 }
 
-// urgency orders requests at a backend server: those with little time first.
+// urgency orders requests at a backend server: by their rank, and within a rank
+// those with little time first.
 func (r *request) urgency() int {
-	if r.caller.PromptTokens == 0 {
+	if r.caller.PromptTokens == 0 || r.route.ObjectiveMs <= 0 {
 		return -1
 	}
+	byTime := 2
 	switch o := r.route.ObjectiveMs; {
-	case o <= 0:
-		return -1
 	case o <= shortObjectiveMs:
-		return 2
+		byTime = 0
 	case o <= mediumObjectiveMs:
-		return 4
+		byTime = 1
 	}
-	return 5
+	return min(leastUrgent, urgencyPerRank*r.rank()+byTime)
+}
+
+// rank is how many steps the request is less urgent than the most urgent route
+// of its service.
+func (r *request) rank() int {
+	return r.version.Manifest.Routing.Rank(r.route, r.account, r.service.Name)
 }
 
-// Objectives up to these are served first and second.
 const (
+	// Objectives up to these are served first and second.
 	shortObjectiveMs  = 700
 	mediumObjectiveMs = 2_000
+	// urgencyPerRank is the number of urgencies within a rank, and leastUrgent the
+	// largest one that backend servers know.
+	urgencyPerRank = 3
+	leastUrgent    = 9
 )
 
 // noAnswer judges an exchange that failed.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -48,7 +48,14 @@
 	// and lateLimit the multiple of its objective above which a request is then
 	// refused: sooner than making all later ones late.
 	crowdedShare = 0.85
-	lateLimit    = 0.8
+	// crowdedPerRank is the share of the places that is kept for each more urgent
+	// rank, of which maxCrowdedRank count.
+	crowdedPerRank = 0.1
+	maxCrowdedRank = 3
+	lateLimit      = 0.8
+	// waitShare is the share of the objective that a request waits for a better
+	// moment. One that waited longer would be late after all.
+	waitShare = 0.5
 	// maxJointLoss is the share of its worth that a prompt larger than one engine
 	// may cost in all. Its reading takes an engine's time of half a minute, so it is
 	// admitted while the fleet has room for it only.
@@ -204,10 +211,10 @@
 	if !ok {
 		return nil, errFull
 	}
-	if choice.Wait && r.attempts == 0 {
+	if choice.Wait && r.attempts == 0 && ms(now-r.arrived) < waitShare*r.route.ObjectiveMs {
 		return nil, errLater
 	}
-	if r.events == 0 && (choice.FirstEventMs > req.AbandonMs || (crowded(engines) && choice.FirstEventMs > lateLimit*req.ObjectiveMs)) {
+	if r.events == 0 && (choice.FirstEventMs > req.AbandonMs || (crowded(engines, r.rank()) && choice.FirstEventMs > lateLimit*req.ObjectiveMs)) {
 		return nil, &fullError{untilMs: choice.FirstEventMs - req.ObjectiveMs}
 	}
 	if choice.Holders > 0 && r.events == 0 && choice.LossWorth > maxJointLoss*req.Worth {
@@ -255,14 +262,16 @@
 func rank(key uint64) float64 { return float64(key>>11) / (1 << 53) }
 
 // crowded reports whether nearly all places of the engines are taken. A request
-// that is admitted late then makes those that follow late as well.
-func crowded(engines []placement.Engine) bool {
+// that is admitted late then makes those that follow late as well. For the less
+// urgent, some places are kept free.
+func crowded(engines []placement.Engine, rank int) bool {
 	open, slots := 0, 0
 	for i := range engines {
 		open += engines[i].Load.Open
 		slots += engines[i].Slots
 	}
-	return float64(open) >= crowdedShare*float64(slots)
+	share := crowdedShare - crowdedPerRank*float64(min(rank, maxCrowdedRank))
+	return float64(open) >= share*float64(slots)
 }
 
 // placement returns the request in the terms of the placement.
--- a/internal/manifest/routing.go
+++ b/internal/manifest/routing.go
@@ -35,6 +35,8 @@
 	byHost  map[string][]*Route
 	service map[string]*RoutedService
 	byKey   map[string]*RoutingAccount
+	// mostUrgent is the lowest priority of the routes of a service.
+	mostUrgent map[string]int
 }
 
 // Route is one path prefix of one host.
@@ -174,8 +176,14 @@
 	r.byHost = map[string][]*Route{}
 	r.service = map[string]*RoutedService{}
 	r.byKey = map[string]*RoutingAccount{}
+	r.mostUrgent = map[string]int{}
 	for i := range r.Routes {
 		route := &r.Routes[i]
+		for _, t := range route.Targets {
+			if p, ok := r.mostUrgent[t.Service]; !ok || route.Priority < p {
+				r.mostUrgent[t.Service] = route.Priority
+			}
+		}
 		host := strings.ToLower(route.Host)
 		r.byHost[host] = append(r.byHost[host], route)
 	}
@@ -205,6 +213,17 @@
 // Service returns a service by name, or nil.
 func (r *Routing) Service(name string) *RoutedService { return r.service[name] }
 
+// Rank returns how many steps a request is less urgent than the most urgent route
+// of its service. The priority of the account, which may be nil, takes precedence
+// over that of the route; a request above all routes has rank 0.
+func (r *Routing) Rank(route *Route, account *RoutingAccount, service string) int {
+	priority := route.Priority
+	if account != nil && account.Priority != nil {
+		priority = *account.Priority
+	}
+	return max(0, priority-r.mostUrgent[service])
+}
+
 // AccountByKey returns the account that holds a key, or nil.
 func (r *Routing) AccountByKey(key string) *RoutingAccount { return r.byKey[KeyDigest(key)] }
 
