Share progress and ends of work together with new work

Change: new work is shared within 4 ms as before; progress and ends wait up to 50 ms and go along with it.

--- a/internal/gateway/book.go
+++ b/internal/gateway/book.go
@@ -24,8 +24,9 @@
 	own map[*job]struct{}
 	// others holds the latest share of each gateway.
 	others map[string]*share
-	// changed is signalled when the own work has changed.
-	changed chan struct{}
+	// entered is signalled when own work was entered, and eased when some of it has
+	// moved on or ended, which the other gateways may learn a little later.
+	entered, eased chan struct{}
 	// past holds ended work by backend server, for as long as it explains how far
 	// other work has come.
 	past map[uint64][]enginemodel.Work
@@ -59,7 +60,8 @@
 
 func newBook() *book {
 	return &book{
-		own: map[*job]struct{}{}, others: map[string]*share{}, changed: make(chan struct{}, 1),
+		own: map[*job]struct{}{}, others: map[string]*share{},
+		entered: make(chan struct{}, 1), eased: make(chan struct{}, 1),
 		sends: map[uint64][]time.Duration{}, past: map[uint64][]enginemodel.Work{},
 	}
 }
@@ -67,7 +69,7 @@
 // enter adds work of this gateway. The caller holds the lock.
 func (b *book) enter(j *job) {
 	b.own[j] = struct{}{}
-	b.signal()
+	signal(b.entered)
 }
 
 // remove ends work of this gateway.
@@ -78,7 +80,7 @@
 	for _, j := range jobs {
 		b.end(j, now)
 	}
-	b.signal()
+	signal(b.eased)
 }
 
 func (b *book) end(j *job, now time.Duration) {
@@ -118,12 +120,13 @@
 	for _, h := range helpers {
 		b.end(h, now)
 	}
-	b.signal()
+	signal(b.eased)
 }
 
-func (b *book) signal() {
+// signal wakes the receiver of a channel with room for one token.
+func signal(c chan struct{}) {
 	select {
-	case b.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -22,6 +22,9 @@
 	shareInterval = 500 * time.Millisecond
 	// sharePause collects changes that come together into one datagram.
 	sharePause = 4 * time.Millisecond
+	// easedPause is how long progress and ends wait for new work to be shared with
+	// them: about one pass of an engine.
+	easedPause = 50 * time.Millisecond
 	// maxSharedJobs bounds a datagram to about 8 KiB, at some 55 bytes a job.
 	maxSharedJobs = 140
 )
@@ -35,19 +38,29 @@
 // sendShares tells the other gateways about the own work, after each change and
 // at intervals. Lost datagrams are made up for by the next one.
 func (g *Gateway) sendShares(ctx context.Context) {
-	ticker := time.NewTicker(shareInterval)
-	defer ticker.Stop()
-	for sequence := uint64(1); ; sequence++ {
+	due := time.NewTimer(shareInterval)
+	defer due.Stop()
+	soon := false // due stands at easedPause
+	for sequence := uint64(1); ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.book.changed:
+		case <-g.book.entered:
 			if !sleep(ctx, sharePause) {
 				return
 			}
-		case <-ticker.C:
+		case <-g.book.eased:
+			if !soon {
+				soon = true
+				due.Reset(easedPause)
+			}
+			continue
+		case <-due.C:
 		}
 		g.sendShare(sequence)
+		sequence++
+		soon = false
+		due.Reset(shareInterval)
 	}
 }
 
