--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -211,14 +211,14 @@
 	if !ok {
 		return nil, errFull
 	}
+	if r.events == 0 && choice.Holders > 0 && choice.LossWorth > maxJointLoss*req.Worth {
+		return nil, &fullError{untilMs: choice.FirstEventMs}
+	}
 	if choice.Wait && r.attempts == 0 && ms(now-r.arrived) < waitShare*r.route.ObjectiveMs {
 		return nil, errLater
 	}
-	if r.events == 0 && (choice.FirstEventMs > req.AbandonMs || (crowded(engines, r.rank()) && choice.FirstEventMs > lateLimit*req.ObjectiveMs)) {
-		return nil, &fullError{untilMs: choice.FirstEventMs - req.ObjectiveMs}
-	}
-	if choice.Holders > 0 && r.events == 0 && choice.LossWorth > maxJointLoss*req.Worth {
-		return nil, &fullError{untilMs: choice.FirstEventMs}
+	if until, refused := r.tooLate(choice, req, engines); refused {
+		return nil, &fullError{untilMs: until}
 	}
 	parts := float64(1 + len(choice.Helpers))
 	first := list[choice.First]
@@ -246,6 +246,23 @@
 	return p, nil
 }
 
+// tooLate reports whether a request should be refused rather than placed, and the
+// predicted time until one like it is served in time. One that has waited here, or
+// was sent already, is placed as long as its caller waits: the former could have
+// been refused at once, and the latter can only fail.
+func (r *request) tooLate(c placement.Choice, req placement.Request, engines []placement.Engine) (untilMs float64, refused bool) {
+	switch {
+	case r.events > 0:
+		return 0, false
+	case c.FirstEventMs > req.AbandonMs:
+		return c.FirstEventMs - req.ObjectiveMs, true
+	case r.waited > 0 || r.attempts > 0:
+		return 0, false
+	}
+	late := crowded(engines, r.rank()) && c.FirstEventMs > lateLimit*req.ObjectiveMs
+	return c.FirstEventMs - req.ObjectiveMs, late
+}
+
 // openWorks counts the requests that run.
 func openWorks(works []enginemodel.Work) int {
 	n := 0
--- a/internal/gateway/rank_test.go
+++ b/internal/gateway/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"bilberryhub/internal/enginemodel"
 	"bilberryhub/internal/manifest"
@@ -49,3 +50,39 @@
 		t.Error("with 8 of 10 places taken, urgent requests must be admitted and less urgent ones must not")
 	}
 }
+
+// A request that was kept waiting must not be refused for a reason for which it
+// could have been refused at once, and one that an engine was left with for its
+// silence must not fail because the others are busy.
+func TestWaitedRequestIsPlaced(t *testing.T) {
+	var works []enginemodel.Work
+	for i := range 9 {
+		works = append(works, enginemodel.Work{Request: uint64(i), PromptTokens: 10, PartTokens: 10, Writing: true})
+	}
+	engines := []placement.Engine{{Slots: 10, Load: enginemodel.NewLoad(testSpec, works, 0, 1)}}
+	version := testVersion(t, 1)
+	r := &request{version: version, route: &version.Manifest.Routing.Routes[2], service: version.Manifest.Routing.Service("model")}
+	req := placement.Request{ObjectiveMs: 300, AbandonMs: 2000, Worth: 1}
+	for name, c := range map[string]struct {
+		choice          placement.Choice
+		atOnce, waiting bool
+	}{
+		"in time":                 {placement.Choice{FirstEventMs: 100}, false, false},
+		"late at full engines":    {placement.Choice{FirstEventMs: 600}, true, false},
+		"later than the patience": {placement.Choice{FirstEventMs: 2500}, true, true},
+	} {
+		r.waited = 0
+		if _, refused := r.tooLate(c.choice, req, engines); refused != c.atOnce {
+			t.Errorf("%s: refused at once %v, expected %v", name, refused, c.atOnce)
+		}
+		r.attempts = 1
+		if _, refused := r.tooLate(c.choice, req, engines); refused != c.waiting {
+			t.Errorf("%s: refused although it was sent %v, expected %v", name, refused, c.waiting)
+		}
+		r.attempts = 0
+		r.waited = time.Second
+		if _, refused := r.tooLate(c.choice, req, engines); refused != c.waiting {
+			t.Errorf("%s: refused after it has waited %v, expected %v", name, refused, c.waiting)
+		}
+	}
+}
