--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -104,6 +104,29 @@
 	}
 }
 
+// The bursts of the users' days, one after the other: long prompts, short ones, long
+// ones again, at a third more than the load of a calm day. Guards against a policy
+// that lets short prompts depend on the reading of long ones: at the aim for such
+// days, 0.76 of the worth must be earned and no kind of request left behind.
+func TestBurstsOneAfterTheOther(t *testing.T) {
+	scale := func(factors ...float64) []float64 {
+		for i := range factors {
+			factors[i] *= 1.33
+		}
+		return factors
+	}
+	calm, long, short := scale(1, 1, 1), scale(0.35, 1.3, 2.8), scale(2.4, 0.5, 0.05)
+	requests := play([]Phase{
+		{UntilMs: 2_200, Factors: calm}, {UntilMs: 11_700, Factors: long}, {UntilMs: 12_000, Factors: calm},
+		{UntilMs: 21_500, Factors: short}, {UntilMs: 23_000, Factors: calm}, {UntilMs: 32_500, Factors: long},
+	})
+	got := worth(requests)
+	t.Logf("worth %.3f; in time: %.3f, %.3f, %.3f", got, inTime(requests, 0), inTime(requests, 1), inTime(requests, 2))
+	if got < 0.76 {
+		t.Errorf("worth %.3f, the aim is 0.76", got)
+	}
+}
+
 // servedShares returns the share of the long prompts that was served, and that of
 // their largest tenth.
 func servedShares(requests []*Request) (all, largest float64) {
