Answer an order to crash before the stand-in crashes

The stand-in crashes in the background as soon as the order is decoded, which resets all connections, also the one on which the order is answered; on a busy machine the crash comes first. Ruled out: the load as such: the order of the two was never fixed. Change: the answer is written with its length and flushed, then the crash begins. The stand-in is used by tests and the demo only.

--- a/internal/standin/instance.go
+++ b/internal/standin/instance.go
@@ -276,24 +276,39 @@
 
 // SetFaults lets change edit the faults in force and applies the result.
 func (in *Instance) SetFaults(change func(*Faults) error) (Faults, error) {
+	f, crash, err := in.applyFaults(change)
+	crash()
+	return f, err
+}
+
+// applyFaults does what SetFaults does, but leaves an ordered crash to the caller:
+// it resets all connections, so that an answer has to be sent before.
+func (in *Instance) applyFaults(change func(*Faults) error) (now Faults, crash func(), err error) {
+	crash = func() {}
 	f, err := in.faults.update(change)
 	if err != nil {
-		return f, errors.Trace(err)
+		return f, crash, errors.Trace(err)
 	}
 	in.mu.Lock()
 	b := in.current
 	if err := in.refuseLocked(f.Refuse); err != nil {
 		in.mu.Unlock()
-		return f, errors.Trace(err)
+		return f, crash, errors.Trace(err)
 	}
 	if f.Crash && b != nil && !in.stopped {
-		in.background.Go(func() { in.crash(b, "ordered") })
+		in.background.Add(1)
+		crash = func() {
+			go func() {
+				defer in.background.Done()
+				in.crash(b, "ordered")
+			}()
+		}
 	}
 	in.mu.Unlock()
 	if f.Cold != nil && b != nil && b.engine != nil {
 		b.engine.setCold(*f.Cold, f.ColdReported)
 	}
-	return in.faults.get(), nil
+	return in.faults.get(), crash, nil
 }
 
 // refuseLocked closes or opens the listening socket.
@@ -343,10 +358,24 @@
 	d := json.NewDecoder(http.MaxBytesReader(w, hr.Body, 1<<16))
 	// A misspelt fault would make a test pass without its fault.
 	d.DisallowUnknownFields()
-	f, err := in.SetFaults(func(f *Faults) error { return d.Decode(f) })
+	f, crash, err := in.applyFaults(func(f *Faults) error { return d.Decode(f) })
+	defer crash()
 	if err != nil {
 		writeError(w, http.StatusBadRequest, "bad_faults", err.Error())
 		return
 	}
-	writeJSON(w, http.StatusOK, f)
+	doc, err := json.Marshal(f)
+	if err != nil {
+		writeError(w, http.StatusInternalServerError, "bad_faults", err.Error())
+		return
+	}
+	// With its length stated and flushed, the answer has left as a whole.
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(doc)))
+	if _, err := w.Write(doc); err != nil {
+		in.log.Debug("faults not answered", zap.Error(err))
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		in.log.Debug("faults not flushed", zap.Error(err))
+	}
 }
