Log the steps of a change of the configuration, slow turns and held-up processes

The logs named neither how long a control process takes for a configuration, nor when a gateway puts one in force, nor whether a process got processor time.

Added: steps (translate, check, propose) of each change with its size, also of changes that were not acknowledged; 'configuration in force' on gateways with the time to decode it; 'slow turn of the state loop'; 'process held up'; the same as histograms. 'role changed' names term and leader.

No logic changes.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -22,6 +22,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -57,6 +58,11 @@
 	maxPeers = 256
 )
 
+var (
+	decodeSeconds = metrics.GetOrCreateHistogram(`bilberry_configuration_decode_seconds`)
+	inForce       = metrics.GetOrCreateCounter(`bilberry_configurations_in_force_total`)
+)
+
 // NeverFresh is the age before the first fresh heartbeat.
 const NeverFresh = time.Duration(math.MaxInt64)
 
@@ -184,7 +190,10 @@
 	if old != nil && old.Index == snap.GetIndex() && (old.Digest == snap.GetDigest() || !fromState) {
 		return nil
 	}
+	began := time.Now()
 	v, err := config.FromSnapshot(snap)
+	took := time.Since(began)
+	decodeSeconds.Update(took.Seconds())
 	if err != nil {
 		s.reject(snap, err)
 		return errors.Annotatef(err, "configuration from %s", source)
@@ -194,6 +203,9 @@
 	}
 	s.current.Store(v)
 	s.raiseFloor(v.Index)
+	inForce.Inc()
+	s.opts.Log.Info("configuration in force", zap.Uint64("index", v.Index), zap.Uint64("number", v.Number),
+		zap.String("from", source), zap.Int("bytes", len(snap.GetManifest())), observe.Milliseconds("decode_ms", took))
 	if s.opts.OnChange != nil {
 		s.opts.OnChange(v)
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,7 @@
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/observe"
 	"bilberryhub/internal/statemachine"
 	"bilberryhub/internal/stateserver"
 	"bilberryhub/internal/wire"
@@ -32,6 +33,11 @@
 var (
 	announcements = metrics.GetOrCreateCounter(`bilberry_control_announcements_total`)
 	changesSent   = metrics.GetOrCreateCounter(`bilberry_control_fleet_changes_total`)
+
+	// The steps of a change of the configuration at this process.
+	translateSeconds = metrics.GetOrCreateHistogram(`bilberry_control_change_seconds{step="translate"}`)
+	checkSeconds     = metrics.GetOrCreateHistogram(`bilberry_control_change_seconds{step="check"}`)
+	proposeSeconds   = metrics.GetOrCreateHistogram(`bilberry_control_change_seconds{step="propose"}`)
 )
 
 // Errors of the service.
@@ -147,25 +153,46 @@
 	}
 }
 
+// Change is a manifest that an operator has sent.
+type Change struct {
+	Number  uint64
+	Content []byte
+	// Translated is how long it took to make the manifest from what was sent.
+	Translated time.Duration
+}
+
 // Apply makes a manifest the desired state. A manifest whose number is not
 // higher than the one in force changes nothing and is no error. Errors are
 // *InvalidError, ErrUnavailable or ErrUnknownOutcome.
-func (s *Service) Apply(ctx context.Context, number uint64, content []byte) error {
-	if _, err := manifest.Parse(content); err != nil {
+func (s *Service) Apply(ctx context.Context, c Change) error {
+	began := bootclock.Now()
+	_, err := manifest.Parse(c.Content)
+	checked := bootclock.Now()
+	translateSeconds.Update(c.Translated.Seconds())
+	checkSeconds.Update((checked - began).Seconds())
+	log := s.log.With(zap.Uint64("number", c.Number), zap.Int("bytes", len(c.Content)),
+		observe.Milliseconds("translate_ms", c.Translated), observe.Milliseconds("check_ms", checked-began))
+	if err != nil {
+		log.Info("manifest refused", observe.Error(err))
 		return &InvalidError{err.Error()}
 	}
 	result, err := s.propose(ctx, &wirepb.Command{Body: &wirepb.Command_ApplyManifest{
-		ApplyManifest: &wirepb.ApplyManifest{Number: number, Content: content},
+		ApplyManifest: &wirepb.ApplyManifest{Number: c.Number, Content: c.Content},
 	}})
+	proposed := bootclock.Now() - checked
+	proposeSeconds.Update(proposed.Seconds())
+	log = log.With(observe.Milliseconds("propose_ms", proposed))
 	if err != nil {
+		log.Warn("manifest not acknowledged", observe.Error(err))
 		return errors.Trace(err)
 	}
 	switch result.GetCode() {
 	case "", statemachine.CodeManifestOutdated, statemachine.CodeManifestConflict:
-		s.log.Info("manifest accepted", zap.Uint64("number", number), zap.String("outcome", result.GetCode()),
+		log.Info("manifest accepted", zap.String("outcome", result.GetCode()),
 			zap.Uint64("number_in_force", result.GetNumberInForce()), zap.Uint64("index", result.GetIndex()))
 		return nil
 	}
+	log.Info("manifest refused", zap.String("outcome", result.GetCode()))
 	return &InvalidError{result.GetMessage()}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,9 @@
 const (
 	// sweepInterval is the interval of the clean-up of tables.
 	sweepInterval = time.Second
+	// lateAfter is the lateness of a timer that is logged: the process got no
+	// processor time, was frozen, or did long work.
+	lateAfter = 100 * time.Millisecond
 	// headerTimeout bounds the head of a caller's request.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a caller's idle connection is kept. It is above any
@@ -202,7 +205,10 @@
 func (g *Gateway) sweep(ctx context.Context) {
 	wasReady := ""
 	first := true
-	for sleep(ctx, sweepInterval) {
+	for due := bootclock.Now() + sweepInterval; sleep(ctx, due-bootclock.Now()); due = bootclock.Now() + sweepInterval {
+		if late := bootclock.Now() - due; late >= lateAfter {
+			g.log.Warn("process held up", observe.Milliseconds("late_ms", late), zap.Int64("open_requests", g.open.Load()))
+		}
 		g.members.sweep()
 		g.exchanges.Sweep()
 		rows, _ := g.members.backends()
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -44,6 +44,11 @@
 	return zap.String("error", err.Error())
 }
 
+// Milliseconds returns a log field with a duration in milliseconds.
+func Milliseconds(key string, d time.Duration) zap.Field {
+	return zap.Float64(key, float64(d)/float64(time.Millisecond))
+}
+
 // Admin serves /metrics, /health and /dump of one process.
 type Admin struct {
 	dump    func() (any, error)
--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -97,22 +97,41 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for l.err == nil {
+		var turn string
+		var began time.Duration
 		select {
 		case <-ctx.Done():
 			return nil
 		case m := <-l.s.inbox:
+			turn, began = "messages", l.now()
 			m.handle(l)
 			l.handleWaiting()
 		case err := <-l.done:
+			turn, began = "durable", l.now()
 			l.finishOutstanding(err)
 		case <-ticker.C:
+			turn, began = "tick", l.now()
 			l.tick()
 		}
 		l.pump()
+		l.reportTurn(turn, l.now()-began)
 	}
 	return l.err
 }
 
+// slowTurn is the length of a turn of the loop from which it is logged: a leader
+// has to send a heartbeat in each interval.
+const slowTurn = heartbeatInterval
+
+// reportTurn records how long the loop did not look at new messages.
+func (l *loop) reportTurn(turn string, took time.Duration) {
+	l.s.metrics.turnSeconds.Update(took.Seconds())
+	if took >= slowTurn {
+		l.log.Warn("slow turn of the state loop", zap.String("turn", turn), observe.Milliseconds("took_ms", took),
+			zap.Uint64("applied", l.applied), zap.Int("messages_waiting", len(l.s.inbox)), zap.Int("proposals_waiting", len(l.waiters)))
+	}
+}
+
 func (l *loop) handleWaiting() {
 	for range maxBatch {
 		select {
--- a/internal/stateserver/metrics.go
+++ b/internal/stateserver/metrics.go
@@ -13,13 +13,15 @@
 	name          string
 	commitSeconds *metrics.Histogram
 	batchEntries  *metrics.Histogram
-	dropped       *metrics.Counter
-	configsSent   *metrics.Counter
-	snapshots     *metrics.Counter
-	subscribers   *metrics.Gauge
-	applied       *metrics.Gauge
-	configIndex   *metrics.Gauge
-	leader        *metrics.Gauge
+	// turnSeconds is how long the loop is busy between two looks at its messages.
+	turnSeconds *metrics.Histogram
+	dropped     *metrics.Counter
+	configsSent *metrics.Counter
+	snapshots   *metrics.Counter
+	subscribers *metrics.Gauge
+	applied     *metrics.Gauge
+	configIndex *metrics.Gauge
+	leader      *metrics.Gauge
 	// learners is set by the leader: above 0, a repair is not complete.
 	learners   *metrics.Gauge
 	joinRounds *metrics.Counter
@@ -31,6 +33,7 @@
 	return &serverMetrics{
 		name:          name,
 		commitSeconds: metrics.GetOrCreateHistogram(label("commit_seconds")),
+		turnSeconds:   metrics.GetOrCreateHistogram(label("loop_turn_seconds")),
 		batchEntries:  metrics.GetOrCreateHistogram(label("batch_entries")),
 		dropped:       metrics.GetOrCreateCounter(label("dropped_messages_total")),
 		configsSent:   metrics.GetOrCreateCounter(label("config_snapshots_sent_total")),
--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bilberryhub/internal/configsync"
 	"bilberryhub/internal/invariant"
 	"bilberryhub/internal/raft"
@@ -81,7 +83,9 @@
 	if role != l.role {
 		l.role = role
 		l.s.metrics.setRole(role)
-		l.log.Info("role changed to " + string(role))
+		st := l.node.Status(now)
+		l.log.Info("role changed", zap.String("role", string(role)), zap.String("leader", leader), zap.Uint64("term", st.Term),
+			zap.Uint64("commit", st.Commit))
 	}
 	f := &l.s.freshness
 	f.mu.Lock()
