--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -10,6 +10,8 @@
 import (
 	"encoding/json"
 	"slices"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Kind is the kind of a service.
@@ -41,6 +43,8 @@
 	DefaultWeight = 1
 )
 
+var checked = metrics.GetOrCreateCounter(`bilberry_manifest_checks_total`)
+
 // MaxBytes bounds a manifest. 2,200 accounts with grants need below 4 MiB.
 const MaxBytes = 16 << 20
 
@@ -136,6 +140,7 @@
 	if len(data) > MaxBytes {
 		return nil, Errors{{Path: "", Message: "document is larger than 16 MiB"}}
 	}
+	checked.Inc()
 	faults := duplicateKeys(data)
 	schemaFaults, err := checkSchema(data)
 	if err != nil {
