--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,13 +18,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/fleet"
-	"bilberryhub/internal/manifest"
-	"bilberryhub/internal/observe"
-	"bilberryhub/internal/statemachine"
 	"bilberryhub/internal/stateserver"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
@@ -33,11 +31,6 @@
 var (
 	announcements = metrics.GetOrCreateCounter(`bilberry_control_announcements_total`)
 	changesSent   = metrics.GetOrCreateCounter(`bilberry_control_fleet_changes_total`)
-
-	// The steps of a change of the configuration at this process.
-	translateSeconds = metrics.GetOrCreateHistogram(`bilberry_control_change_seconds{step="translate"}`)
-	checkSeconds     = metrics.GetOrCreateHistogram(`bilberry_control_change_seconds{step="check"}`)
-	proposeSeconds   = metrics.GetOrCreateHistogram(`bilberry_control_change_seconds{step="propose"}`)
 )
 
 // Errors of the service.
@@ -73,6 +66,9 @@
 	table       *fleet.Table
 	subscribers map[*subscriber]struct{}
 
+	// changes are those in progress, by the digest of their document.
+	changes singleflight.Group
+
 	sourceMu    sync.Mutex
 	sourceIndex uint64
 	source      string
@@ -153,49 +149,6 @@
 	}
 }
 
-// Change is a manifest that an operator has sent.
-type Change struct {
-	Number  uint64
-	Content []byte
-	// Translated is how long it took to make the manifest from what was sent.
-	Translated time.Duration
-}
-
-// Apply makes a manifest the desired state. A manifest whose number is not
-// higher than the one in force changes nothing and is no error. Errors are
-// *InvalidError, ErrUnavailable or ErrUnknownOutcome.
-func (s *Service) Apply(ctx context.Context, c Change) error {
-	began := bootclock.Now()
-	_, err := manifest.Parse(c.Content)
-	checked := bootclock.Now()
-	translateSeconds.Update(c.Translated.Seconds())
-	checkSeconds.Update((checked - began).Seconds())
-	log := s.log.With(zap.Uint64("number", c.Number), zap.Int("bytes", len(c.Content)),
-		observe.Milliseconds("translate_ms", c.Translated), observe.Milliseconds("check_ms", checked-began))
-	if err != nil {
-		log.Info("manifest refused", observe.Error(err))
-		return &InvalidError{err.Error()}
-	}
-	result, err := s.propose(ctx, &wirepb.Command{Body: &wirepb.Command_ApplyManifest{
-		ApplyManifest: &wirepb.ApplyManifest{Number: c.Number, Content: c.Content},
-	}})
-	proposed := bootclock.Now() - checked
-	proposeSeconds.Update(proposed.Seconds())
-	log = log.With(observe.Milliseconds("propose_ms", proposed))
-	if err != nil {
-		log.Warn("manifest not acknowledged", observe.Error(err))
-		return errors.Trace(err)
-	}
-	switch result.GetCode() {
-	case "", statemachine.CodeManifestOutdated, statemachine.CodeManifestConflict:
-		log.Info("manifest accepted", zap.String("outcome", result.GetCode()),
-			zap.Uint64("number_in_force", result.GetNumberInForce()), zap.Uint64("index", result.GetIndex()))
-		return nil
-	}
-	log.Info("manifest refused", zap.String("outcome", result.GetCode()))
-	return &InvalidError{result.GetMessage()}
-}
-
 // SetDomain takes a failure domain in or out of service. Sending the same again
 // changes nothing.
 func (s *Service) SetDomain(ctx context.Context, domain string, out bool) error {
@@ -231,30 +184,6 @@
 	return nil, errors.Annotatef(ErrUnavailable, "%s: %s", code, message)
 }
 
-// Source returns the document that the manifest in force was translated from.
-// The error is ErrUnavailable when this process cannot be sure that it is the
-// newest, or knows none.
-func (s *Service) Source() (string, error) {
-	state := s.current()
-	if state == nil || !state.Fresh() {
-		return "", errors.Annotate(ErrUnavailable, "no proof that the configuration here is the newest")
-	}
-	snap := state.Config()
-	if len(snap.GetManifest()) == 0 {
-		return "", errors.Annotate(ErrUnavailable, "there is no manifest yet")
-	}
-	s.sourceMu.Lock()
-	defer s.sourceMu.Unlock()
-	if s.sourceIndex != snap.GetIndex() {
-		m, err := manifest.Parse(snap.GetManifest())
-		if err != nil || m.Routing == nil {
-			return "", errors.Errorf("manifest %d in force has no source: %v", snap.GetManifestNumber(), err)
-		}
-		s.source, s.sourceIndex = m.Routing.Source, snap.GetIndex()
-	}
-	return s.source, nil
-}
-
 // Handle answers the calls of gateways; see stateserver.Options.
 func (s *Service) Handle(ctx context.Context, st *wire.Stream, req *wirepb.Envelope) error {
 	sub := req.GetFleetSubscribe()
