Bound the log of control processes by bytes as well as by entries

What would be seen: a control process ends by itself on a full disk, or for lack of memory, after many large changes within five minutes, and changes get no acknowledgement. The cause: the log was cut every 300 entries, and an entry holds a whole manifest: 300 of 1.2 MB are three times a disk of 128 MB, and are kept in memory as well.

TestLogOfLargeManifestsFitsTheDisk fails without the bound: after 20 manifests of 100 KB the folder is above half of a disk of 4 MB.

After a full disk it is tried again as before.

--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -73,9 +73,10 @@
 }
 
 const (
-	// snapshotEntries and segmentShare keep the log well below the disk: an entry
-	// holds a whole manifest.
+	// snapshotEntries, snapshotShare and segmentShare keep the log well below the
+	// disk: an entry holds a whole manifest.
 	snapshotEntries = 300
+	snapshotShare   = 8
 	segmentShare    = 16
 	// maxVoters bounds the replicas whose agreement a change needs.
 	maxVoters = 7
@@ -90,7 +91,8 @@
 	self := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
 	out := stateserver.Settings{
 		ID: s.IP, FailureDomain: s.FailureDomain, Listen: self, AdminListen: s.AdminListen, DataDir: s.DataDir,
-		LogLevel: s.LogLevel, SnapshotEntries: snapshotEntries, SegmentBytes: s.DiskMB << 20 / segmentShare,
+		LogLevel: s.LogLevel, SnapshotEntries: snapshotEntries,
+		SnapshotBytes: s.DiskMB << 20 / snapshotShare, SegmentBytes: s.DiskMB << 20 / segmentShare,
 		JoinOnly:     !s.Bootstrap || !slices.Contains(seeds, self),
 		TargetVoters: min(maxVoters, max(3, 2*s.ToleratedLosses+1)),
 	}
--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -28,6 +28,8 @@
 	dir      string
 	replicas []ReplicaConfig
 	entries  uint64
+	// disk is the size of the disks that the log must fit, 0 means no bound.
+	disk int64
 	// target is the number of voters that leaders keep; 0 means all replicas.
 	target  int
 	timeout time.Duration
@@ -74,6 +76,7 @@
 	set := Settings{
 		ID: name, AdminListen: "127.0.0.1:0", DataDir: filepath.Join(c.dir, name), Replicas: c.replicas,
 		LogLevel: "info", SnapshotEntries: c.entries, TargetVoters: c.target,
+		SnapshotBytes: c.disk / 8, SegmentBytes: c.disk / 16,
 	}
 	r, _ := set.replica(name)
 	set.Listen, set.FailureDomain = r.Address, r.FailureDomain
--- /dev/null
+++ b/internal/stateserver/log_bound_test.go
@@ -0,0 +1,53 @@
+package stateserver
+
+import (
+	"fmt"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"bilberryhub/internal/wirepb"
+)
+
+// Guards against a log that fills the disk because it is cut by the number of its
+// entries, while an entry holds a whole manifest.
+func TestLogOfLargeManifestsFitsTheDisk(t *testing.T) {
+	const manifests, size = 80, 100 << 10
+	c := newCluster(t, 1)
+	c.disk = manifests * size / 2
+	c.startAll()
+	name := c.leader()
+	client := c.client(name)
+	for i := range manifests {
+		number := uint64(i + 1)
+		content := fmt.Sprintf(`{"number":%d,"routing":{"routes":[],"services":[],"source":%q}}`, number, strings.Repeat("s", size))
+		r := c.mustPropose(client, &wirepb.Command{Id: fmt.Sprint("m", i), Body: &wirepb.Command_ApplyManifest{
+			ApplyManifest: &wirepb.ApplyManifest{Number: number, Content: []byte(content)},
+		}})
+		if r.GetCode() != "" {
+			t.Fatalf("manifest %d: %s %s", number, r.GetCode(), r.GetMessage())
+		}
+		if used := c.dataBytes(name); used > c.disk/2 {
+			t.Fatalf("after %d manifests the data folder has %d bytes, above half of a disk of %d", number, used, c.disk)
+		}
+	}
+}
+
+// dataBytes returns the size of the data folder of a replica.
+func (c *cluster) dataBytes(name string) (sum int64) {
+	c.t.Helper()
+	err := filepath.WalkDir(filepath.Join(c.dir, name), func(_ string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return nil // A file may be removed meanwhile.
+		}
+		if info, err := d.Info(); err == nil {
+			sum += info.Size()
+		}
+		return nil
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return sum
+}
--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -44,8 +44,10 @@
 	// next one is written.
 	snapshot     *wirepb.Snapshot
 	snapshotting bool
-	// snapshotFrom is the applied index from which the next one is taken.
+	// snapshotFrom is the applied index from which the next one is taken, and
+	// logBytes the size of the entries that were applied since the last one.
 	snapshotFrom uint64
+	logBytes     int64
 	clock        leaderClock
 	repair       repair
 	role         raft.Role
@@ -226,7 +228,7 @@
 	if err := l.machine.Restore(state); err != nil {
 		return errors.Annotatef(err, "snapshot at entry %d", snap.GetIndex())
 	}
-	l.applied, l.appliedTerm, l.snapshot = snap.GetIndex(), snap.GetTerm(), snap
+	l.applied, l.appliedTerm, l.snapshot, l.logBytes = snap.GetIndex(), snap.GetTerm(), snap, 0
 	if l.forming != nil {
 		close(l.forming.done)
 		l.forming = nil
@@ -269,6 +271,7 @@
 			l.s.peers.retain(m)
 		}
 		l.applied, l.appliedTerm = e.GetIndex(), e.GetTerm()
+		l.logBytes += int64(len(e.GetData()))
 		l.answerWaiter(e, result)
 	}
 	if len(entries) > 0 {
@@ -278,13 +281,22 @@
 	return nil
 }
 
-// maybeSnapshot starts a snapshot when enough entries were applied since the
-// last one. Encoding and writing run next to the loop.
+// snapshotDue reports whether enough was applied since the last snapshot.
+func (l *loop) snapshotDue() bool {
+	if l.applied < l.snapshotFrom {
+		return false
+	}
+	set := l.s.settings
+	return l.applied >= l.snapshot.GetIndex()+set.SnapshotEntries || (set.SnapshotBytes > 0 && l.logBytes >= set.SnapshotBytes)
+}
+
+// maybeSnapshot starts a snapshot when one is due. Encoding and writing run next
+// to the loop.
 func (l *loop) maybeSnapshot() {
-	if l.snapshotting || l.applied < max(l.snapshotFrom, l.snapshot.GetIndex()+l.s.settings.SnapshotEntries) {
+	if l.snapshotting || !l.snapshotDue() {
 		return
 	}
-	l.snapshotting = true
+	l.snapshotting, l.logBytes = true, 0
 	state := l.machine.Snapshot()
 	snap := &wirepb.Snapshot{
 		Index: l.applied, Term: l.appliedTerm, Membership: proto.CloneOf(l.node.MembershipAt(l.applied)),
@@ -313,6 +325,7 @@
 		// The log is intact. A later attempt is made, because operators may make
 		// room meanwhile.
 		l.snapshotFrom = l.applied + l.s.settings.SnapshotEntries/10 + 1
+		l.logBytes = max(l.logBytes, l.s.settings.SnapshotBytes)
 		l.log.Error("snapshot not written", observe.Error(m.err))
 	case m.err != nil:
 		l.err = errors.Annotate(m.err, "save snapshot")
--- a/internal/stateserver/settings.go
+++ b/internal/stateserver/settings.go
@@ -31,6 +31,9 @@
 	LogLevel      string          `json:"log_level"`
 	// SnapshotEntries is the number of applied entries between two snapshots.
 	SnapshotEntries uint64 `json:"snapshot_entries"`
+	// SnapshotBytes is the size of the applied entries between two snapshots, which
+	// bounds the log where entries are large; 0 means no bound.
+	SnapshotBytes int64 `json:"snapshot_bytes"`
 	// SegmentBytes is the size of one log file; 0 means the default.
 	SegmentBytes int64 `json:"segment_bytes"`
 	// JoinOnly keeps a replica with an empty data folder from taking part in the
