Send large messages between processes in compressed form

Callers would see late pauses, and operators a configuration that is not in force everywhere within its bound. The cause: the whole manifest, with two copies of each route, goes to every gateway and replica; 80 copies are 64 MB over six links of 170 Mbit/s, besides answers to callers on links of 20 Mbit/s.

From protocol version 3 on, an envelope of 16 KB or more travels as one Zstandard frame (klauspost/compress). A configuration is packed once for all subscribers of a process.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -57,10 +57,10 @@
 	r.t.Cleanup(func() { _ = s.Close() })
 }
 
-func (r *replica) Config() *wirepb.ConfigSnapshot {
+func (r *replica) Config() *wire.Prepared {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.config
+	return Message(r.config)
 }
 
 func (r *replica) Fresh() bool {
--- a/internal/configsync/serve.go
+++ b/internal/configsync/serve.go
@@ -18,8 +18,9 @@
 // Source is what a state process serves to its subscribers. Its methods are
 // called from many goroutines.
 type Source interface {
-	// Config returns the configuration of the applied log.
-	Config() *wirepb.ConfigSnapshot
+	// Config returns the configuration of the applied log as a message, the same
+	// one until it changes.
+	Config() *wire.Prepared
 	// Fresh reports whether this replica has confirmed just now, or within the
 	// validity of a leader lease, that it is in contact with the leader and
 	// has applied what was committed then.
@@ -30,6 +31,11 @@
 	Sent()
 }
 
+// Message returns a configuration as subscribers are sent it.
+func Message(c *wirepb.ConfigSnapshot) *wire.Prepared {
+	return wire.Prepare(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigSnapshot{ConfigSnapshot: c}})
+}
+
 // feed is one subscription at the state process.
 type feed struct {
 	stream *wire.Stream
@@ -99,11 +105,12 @@
 func (f *feed) send() error {
 	// Fresh is read first: what is applied afterwards is at least as new.
 	fresh := f.source.Fresh()
-	c := f.source.Config()
+	message := f.source.Config()
+	c := message.Envelope().GetConfigSnapshot()
 	// A replica that is behind its subscriber has nothing to offer, and index 0
 	// means that no manifest or order was accepted yet.
 	if now := (known{c.GetIndex(), c.GetDigest()}); now != f.known && now.index >= f.known.index && now.index > 0 {
-		if err := f.stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigSnapshot{ConfigSnapshot: c}}); err != nil {
+		if err := f.stream.SendPrepared(message); err != nil {
 			return err
 		}
 		f.known, f.sentAt = now, time.Now()
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -31,10 +31,10 @@
 	fault   string
 }
 
-func (f *fakeState) Config() *wirepb.ConfigSnapshot {
+func (f *fakeState) Config() *wire.Prepared {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.machine.Config()
+	return configsync.Message(f.machine.Config())
 }
 
 func (f *fakeState) Fresh() bool {
--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -30,7 +30,8 @@
 
 // publication is a configuration that subscribers may read.
 type publication struct {
-	config *wirepb.ConfigSnapshot
+	config  *wirepb.ConfigSnapshot
+	message *wire.Prepared
 	// changed is closed when a newer publication exists.
 	changed chan struct{}
 }
@@ -46,7 +47,7 @@
 		invariant.Must(config.GetIndex() >= old.config.GetIndex(), "stateserver_config_never_reverts",
 			"config index %d after %d", config.GetIndex(), old.config.GetIndex())
 	}
-	l.s.published.Store(&publication{config: config, changed: make(chan struct{})})
+	l.s.published.Store(&publication{config: config, message: configsync.Message(config), changed: make(chan struct{})})
 	l.s.metrics.configIndex.Set(float64(config.GetIndex()))
 	if old != nil {
 		close(old.changed)
@@ -203,7 +204,7 @@
 // source is what subscribers are served.
 type source struct{ s *Server }
 
-func (c source) Config() *wirepb.ConfigSnapshot { return c.s.published.Load().config }
-func (c source) Changed() <-chan struct{}       { return c.s.published.Load().changed }
-func (c source) Fresh() bool                    { return c.s.fresh() }
-func (c source) Sent()                          { c.s.metrics.configsSent.Inc() }
+func (c source) Config() *wire.Prepared   { return c.s.published.Load().message }
+func (c source) Changed() <-chan struct{} { return c.s.published.Load().changed }
+func (c source) Fresh() bool              { return c.s.fresh() }
+func (c source) Sent()                    { c.s.metrics.configsSent.Inc() }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -25,7 +25,7 @@
 // Range of protocol versions that this build speaks.
 const (
 	LowestVersion  = 1
-	HighestVersion = 2
+	HighestVersion = 3
 )
 
 const (
@@ -153,8 +153,11 @@
 func (s *Stream) Peer() Peer { return s.peer }
 
 // Send writes one envelope.
-func (s *Stream) Send(env *wirepb.Envelope) error {
-	_, err := protodelim.MarshalTo(s.conn, env)
+func (s *Stream) Send(env *wirepb.Envelope) error { return s.SendPrepared(Prepare(env)) }
+
+// SendPrepared writes an envelope that goes to several peers.
+func (s *Stream) SendPrepared(p *Prepared) error {
+	_, err := protodelim.MarshalTo(s.conn, p.forVersion(s.peer.Version))
 	return errors.Annotatef(err, "send to %s", s.peer.ID)
 }
 
@@ -168,7 +171,8 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "receive from %s", s.peer.ID)
 	}
-	return env, nil
+	env, err = unpacked(env)
+	return env, errors.Annotatef(err, "receive from %s", s.peer.ID)
 }
 
 // Close ends the call, also for a Send or Recv under way.
