Let a replica that hears no leader ask whether its place was taken

The cause: a voter that is silent for 2 s gives way to a learner, and its identity is retired. When it returns it asks for votes, and the answer that tells it of the retirement was dropped, since only members and replicas named in the settings have a known address; a control process that is no seed is neither. One whose own log still lists it as a learner asks for no votes at all.

TestReturningReplicaLearnsThatItsPlaceWasTaken fails before (nothing learned in 60 s).

--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -212,6 +212,14 @@
 	}
 }
 
+// LearnMembership takes note of a membership that another replica knows to be
+// committed at an index. It matters only where it retires this replica, which
+// receives no entries any more.
+func (n *Node) LearnMembership(index uint64, m *wirepb.Membership, now time.Duration) {
+	n.observe(now)
+	n.learnRetirement(&wirepb.Snapshot{Index: index, Membership: m})
+}
+
 // quorum is the number of voters that make a majority.
 func (n *Node) quorum() int { return len(n.membership().Voters)/2 + 1 }
 
--- a/internal/stateserver/handler.go
+++ b/internal/stateserver/handler.go
@@ -22,6 +22,8 @@
 		return s.queryClaim(ctx, st, body.ClaimQuery)
 	case *wirepb.Envelope_Join:
 		return s.join(ctx, st, body.Join)
+	case *wirepb.Envelope_MembershipQuery:
+		return s.answerMembership(ctx, st)
 	case *wirepb.Envelope_Dump:
 		return s.sendDump(st)
 	default:
--- a/internal/stateserver/replace_test.go
+++ b/internal/stateserver/replace_test.go
@@ -5,6 +5,9 @@
 	"path/filepath"
 	"slices"
 	"testing"
+	"time"
+
+	"github.com/juju/errors"
 )
 
 // joinNew starts a replica that no settings name and that may only join.
@@ -49,6 +52,38 @@
 	c.mustPropose(c.client(c.leader()), order("o2", 2, false))
 }
 
+// Guards against a replica that returns after its place was taken and never hears
+// of it, because no settings name it: it would answer nobody and never join anew.
+func TestReturningReplicaLearnsThatItsPlaceWasTaken(t *testing.T) {
+	c := newCluster(t, 3)
+	c.target = 3
+	c.startAll()
+	c.mustPropose(c.client(c.leader()), order("o1", 1, true))
+	takesPlaceOf := func(name, lost string) {
+		old := c.servers[lost].ID()
+		c.stop(lost)
+		id := c.joinNew(name, 3).ID()
+		c.await(name+" to take the place of "+lost, func() bool {
+			st := c.status(c.leader()).Raft
+			return slices.Contains(st.Voters, id) && !slices.Contains(st.Voters, old)
+		})
+	}
+	takesPlaceOf("state-x", c.others(c.leader())[0])
+	takesPlaceOf("state-y", "state-x")
+	back := c.joinNew("state-x", 3)
+	select {
+	case <-back.Failed():
+	case <-time.After(patience):
+		t.Fatalf("the replica has not learned within %v that its place was taken", patience)
+	}
+	var retired *RetiredError
+	if !errors.As(back.Err(), &retired) {
+		t.Fatalf("the replica ended with %v", back.Err())
+	}
+	delete(c.servers, "state-x")
+	_ = back.Close()
+}
+
 // While all voters are there, a further replica follows the log without a vote.
 func TestSpareReplicaHasNoVote(t *testing.T) {
 	c := newCluster(t, 3)
--- a/internal/stateserver/server.go
+++ b/internal/stateserver/server.go
@@ -173,6 +173,7 @@
 	}
 	s.wg.Go(func() { s.fail(l.run(s.ctx)) })
 	s.wg.Go(func() { s.confirmFromLeader(s.ctx) })
+	s.wg.Go(func() { s.askForMembership(s.ctx) })
 	return nil
 }
 
