Let replicas join and follow a leader that their settings do not name

The cause: only the leader lets a replica join, and an empty replica asked only those that its settings name (three seeds of six). A second fault of the same kind lay behind it: a replica whose answers go to a leader at an address that it does not know dropped them, so the leader never learned that it was there.

Class of fault: a process relies on the few addresses of its settings, where the membership has moved on. Test set-ups take ports below those of outgoing connections: one run failed because such a connection held the port of a replica that restarted.

--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -69,8 +69,12 @@
 		log.Info("manifest refused", observe.Error(err))
 		return &InvalidError{err.Error()}
 	}
-	if inForce := s.numberInForce(); number < inForce {
-		log.Info("manifest accepted", zap.String("outcome", statemachine.CodeManifestOutdated), zap.Uint64("number_in_force", inForce))
+	if inForce := s.numberInForce(); number <= inForce {
+		outcome := statemachine.CodeManifestOutdated
+		if number == inForce {
+			outcome = statemachine.CodeManifestConflict
+		}
+		log.Info("manifest accepted", zap.String("outcome", outcome), zap.Uint64("number_in_force", inForce))
 		return nil
 	}
 	result, err := s.propose(ctx, &wirepb.Command{Body: &wirepb.Command_ApplyManifest{
--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -48,14 +49,9 @@
 		servers: map[string]*Server{}, cut: map[string]bool{}, conns: map[string][]net.Conn{},
 	}
 	for i := range size {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
 		c.replicas = append(c.replicas, ReplicaConfig{
-			Name: fmt.Sprintf("state-%c", 'a'+i), Address: l.Addr().String(), FailureDomain: fmt.Sprintf("domain-%c", 'a'+i),
+			Name: fmt.Sprintf("state-%c", 'a'+i), Address: freeAddress(t), FailureDomain: fmt.Sprintf("domain-%c", 'a'+i),
 		})
-		_ = l.Close()
 	}
 	t.Cleanup(func() {
 		for _, s := range c.servers {
@@ -65,6 +61,23 @@
 	return c
 }
 
+// freeAddress returns an address that nobody listens on. Its port is below those
+// that the system gives to outgoing connections, so that none takes it before a
+// replica listens there, or while one restarts.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	const lowest, count, tries = 10_000, 20_000, 100
+	for range tries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
 func (c *cluster) startAll() {
 	for _, r := range c.replicas {
 		c.start(r.Name)
--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -73,12 +73,14 @@
 	// id is the replica id of the other replica, if it answered.
 	id        string
 	noCluster bool
-	snapshot  *wirepb.Snapshot
+	// notLeader is set when only another replica can let this one join.
+	notLeader bool
 	err       error
 }
 
-// joinRound asks every other replica once. A snapshot ends the round at once;
-// the coordinator decides when all others belong to no cluster.
+// joinRound asks every other replica of the settings once, and the members that
+// they name when none of them leads. A snapshot ends the round at once; the
+// coordinator decides when all others belong to no cluster.
 func (s *Server) joinRound(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -86,15 +88,13 @@
 	var wg sync.WaitGroup
 	for i, r := range s.settings.Replicas {
 		if r.Name != s.settings.ID {
-			wg.Go(func() {
-				answers[i] = s.askJoin(ctx, r)
-				if answers[i].snapshot != nil {
-					s.tell(ctx, adopt{snap: answers[i].snapshot})
-				}
-			})
+			wg.Go(func() { answers[i] = s.askJoin(ctx, r.Address) })
 		}
 	}
 	wg.Wait()
+	if i := slices.IndexFunc(answers, func(a joinAnswer) bool { return a.notLeader }); i >= 0 {
+		s.joinThroughMembers(ctx, s.settings.Replicas[i].Address)
+	}
 	if s.settings.JoinOnly || s.settings.coordinator() != s.settings.ID {
 		return
 	}
@@ -115,9 +115,29 @@
 	s.tell(ctx, decide{members: members})
 }
 
-func (s *Server) askJoin(ctx context.Context, r ReplicaConfig) joinAnswer {
+// joinThroughMembers asks the members that the replica at an address names and
+// the settings do not: the leader may be one of them.
+func (s *Server) joinThroughMembers(ctx context.Context, address string) {
+	reply, err := s.askMembership(ctx, address)
+	if err != nil {
+		s.log.Debug("members not learned", zap.String("peer", address), observe.Error(err))
+		return
+	}
+	var wg sync.WaitGroup
+	m := reply.GetMembership()
+	for _, r := range slices.Concat(m.GetVoters(), m.GetLearners()) {
+		if _, named := s.settings.replica(nameOf(r.GetId())); !named && nameOf(r.GetId()) != s.settings.ID {
+			wg.Go(func() { s.askJoin(ctx, r.GetAddress()) })
+		}
+	}
+	wg.Wait()
+}
+
+// askJoin asks the replica at an address to let this one join, and takes the
+// snapshot over that it may answer with.
+func (s *Server) askJoin(ctx context.Context, address string) joinAnswer {
 	self := s.settings.self()
-	st, err := s.clients.Get(r.Address).Open(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Join{
+	st, err := s.clients.Get(address).Open(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Join{
 		Join: &wirepb.Join{Replica: self.withID(s.id)},
 	}})
 	if err != nil {
@@ -133,11 +153,12 @@
 	switch body := env.GetBody().(type) {
 	case *wirepb.Envelope_Failure:
 		a.noCluster = body.Failure.GetCode() == codeNoCluster
+		a.notLeader = body.Failure.GetCode() == codeNoLeader
 		a.err = errors.New(body.Failure.GetMessage())
 	case *wirepb.Envelope_RaftMessage:
 		snap := body.RaftMessage.GetSnapshot()
 		if a.err = receiveChunks(st, snap); a.err == nil {
-			a.snapshot = snap
+			s.tell(ctx, adopt{snap: snap})
 		}
 	}
 	return a
--- a/internal/stateserver/handler.go
+++ b/internal/stateserver/handler.go
@@ -46,6 +46,9 @@
 		s.tell(ctx, received{m: m})
 		return st.Send(wire.AckEnvelope())
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.peers.answerOn(ctx, st.Peer().ID, st)
 	for s.tell(ctx, received{m: m}) {
 		env, err := st.Recv()
 		if err != nil {
--- a/internal/stateserver/membership.go
+++ b/internal/stateserver/membership.go
@@ -66,26 +66,28 @@
 			if address == s.settings.Listen {
 				continue
 			}
-			if err := s.askMembership(ctx, address); err != nil {
+			reply, err := s.askMembership(ctx, address)
+			if err != nil {
 				s.log.Debug("membership not learned", zap.String("peer", address), observe.Error(err))
+				continue
 			}
+			s.tell(ctx, learnedMembership{reply: reply})
 		}
 	}
 }
 
-func (s *Server) askMembership(ctx context.Context, address string) error {
+// askMembership returns the membership that the replica at an address knows to be
+// committed.
+func (s *Server) askMembership(ctx context.Context, address string) (*wirepb.MembershipReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	env, err := s.clients.Get(address).Call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_MembershipQuery{
 		MembershipQuery: &wirepb.MembershipQuery{},
 	}})
 	if err != nil {
-		return errors.Annotatef(err, "ask %s for the membership", address)
-	}
-	if reply := env.GetMembershipReply(); reply != nil {
-		s.tell(ctx, learnedMembership{reply: reply})
+		return nil, errors.Annotatef(err, "ask %s for the membership", address)
 	}
-	return nil
+	return env.GetMembershipReply(), nil
 }
 
 // hearsNoLeader reports whether leaders have been silent for longer than an
--- a/internal/stateserver/replace_test.go
+++ b/internal/stateserver/replace_test.go
@@ -1,7 +1,6 @@
 package stateserver
 
 import (
-	"net"
 	"path/filepath"
 	"slices"
 	"testing"
@@ -13,12 +12,7 @@
 // joinNew starts a replica that no settings name and that may only join.
 func (c *cluster) joinNew(name string, target int) *Server {
 	c.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	address := l.Addr().String()
-	_ = l.Close()
+	address := freeAddress(c.t)
 	s, err := Start(Settings{
 		ID: name, FailureDomain: "domain-new", Listen: address, AdminListen: "127.0.0.1:0", DataDir: filepath.Join(c.dir, name),
 		Replicas: c.replicas, LogLevel: "info", SnapshotEntries: c.entries, JoinOnly: true, TargetVoters: target,
@@ -129,3 +123,33 @@
 		}
 	}
 }
+
+// handOver asks the loop to make another replica the leader.
+type handOver struct{ to string }
+
+func (m handOver) handle(l *loop) { _ = l.node.TransferLeadership(m.to, l.now()) }
+
+// Guards against a replica with an empty disk that stays out of the cluster for
+// as long as none of the replicas in its settings is the leader.
+func TestReplicaJoinsWhileNoReplicaOfItsSettingsLeads(t *testing.T) {
+	c := newCluster(t, 3)
+	c.target = 4
+	c.startAll()
+	c.mustPropose(c.client(c.leader()), order("o1", 1, true))
+	id := c.joinNew("state-x", 4).ID()
+	c.await("state-x to lead", func() bool {
+		leader := c.leader()
+		if leader != "state-x" && slices.Contains(c.status(leader).Raft.Voters, id) {
+			c.servers[leader].tell(t.Context(), handOver{to: id})
+		}
+		return leader == "state-x"
+	})
+	c.wipe("state-b")
+	back := c.start("state-b").ID()
+	c.await("the wiped replica to vote again", func() bool {
+		return slices.Contains(c.status(c.leader()).Raft.Voters, back)
+	})
+	if leader := c.leader(); leader != "state-x" {
+		t.Logf("the leader changed to %s meanwhile", leader)
+	}
+}
--- a/internal/stateserver/transport.go
+++ b/internal/stateserver/transport.go
@@ -29,6 +29,11 @@
 	peers map[string]*peer
 	// addresses of the members, by replica id.
 	addresses map[string]string
+	// inbound holds the queues of the streams on which replicas send, by replica id.
+	// Messages to a replica whose address is not known go back on its stream: the
+	// leader may be a replica that joined while this one was away, or before it has
+	// any state.
+	inbound map[string]chan *wirepb.RaftMessage
 }
 
 // peer is the sending side to one replica.
@@ -43,25 +48,60 @@
 }
 
 func newTransport(s *Server) *transport {
-	return &transport{s: s, peers: map[string]*peer{}, addresses: map[string]string{}}
+	return &transport{
+		s: s, peers: map[string]*peer{}, addresses: map[string]string{}, inbound: map[string]chan *wirepb.RaftMessage{},
+	}
 }
 
 // send queues messages. It never blocks; a full queue drops the message.
 func (t *transport) send(messages []*wirepb.RaftMessage) {
 	for _, m := range messages {
-		p := t.peer(m.GetTo())
-		if p == nil {
+		select {
+		case t.queueFor(m) <- m:
+		default:
 			t.s.metrics.dropped.Inc()
-			continue
 		}
-		queue := p.queue
-		if m.GetKind() == wirepb.RaftMessage_KIND_SNAPSHOT {
-			queue = p.snapshots
+	}
+}
+
+// queueFor returns the queue of a message, or nil where nothing leads to its
+// receiver.
+func (t *transport) queueFor(m *wirepb.RaftMessage) chan<- *wirepb.RaftMessage {
+	p := t.peer(m.GetTo())
+	switch {
+	case p == nil:
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return t.inbound[m.GetTo()]
+	case m.GetKind() == wirepb.RaftMessage_KIND_SNAPSHOT:
+		return p.snapshots
+	}
+	return p.queue
+}
+
+// answerOn sends messages for a replica back on the stream on which it sends,
+// until ctx ends.
+func (t *transport) answerOn(ctx context.Context, id string, st *wire.Stream) {
+	queue := make(chan *wirepb.RaftMessage, queueMessages)
+	t.mu.Lock()
+	t.inbound[id] = queue
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.inbound[id] == queue {
+			delete(t.inbound, id)
 		}
+	}()
+	for {
 		select {
-		case queue <- m:
-		default:
-			t.s.metrics.dropped.Inc()
+		case <-ctx.Done():
+			return
+		case m := <-queue:
+			if err := st.Send(raftEnvelope(m)); err != nil {
+				// The stream is broken; its receiving side ends as well.
+				return
+			}
 		}
 	}
 }
@@ -187,11 +227,10 @@
 // stream sends messages until the stream fails.
 func (p *peer) stream(ctx context.Context, st *wire.Stream) {
 	defer st.Close()
-	// The peer sends nothing on the stream but its end.
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_, _ = st.Recv()
+		p.t.receiveAnswers(ctx, st)
 	}()
 	for {
 		select {
@@ -206,3 +245,18 @@
 		}
 	}
 }
+
+// receiveAnswers takes the messages that a replica sends back on the stream; see
+// transport.inbound. It returns at the end of the stream.
+func (t *transport) receiveAnswers(ctx context.Context, st *wire.Stream) {
+	for {
+		env, err := st.Recv()
+		if err != nil {
+			return
+		}
+		m := env.GetRaftMessage()
+		if m == nil || !t.s.tell(ctx, received{m: m}) {
+			return
+		}
+	}
+}
