Refuse changes at once at a replica that has no leader

Operators wait a second for an answer, then ask the next control process. A replica without a leader for longer than an election takes answered after two seconds, so that each such replica (cut off, empty, or out of the set) cost a change one second and more of its bound for the acknowledgement.

The wait for a leader stays for elections. Just after its start a replica counts as electing, and silence is measured in one way for refusals and for questions for the membership.

--- a/internal/stateserver/membership.go
+++ b/internal/stateserver/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/juju/errors"
@@ -96,5 +95,5 @@
 	f := &s.freshness
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.checked > 0 && !f.leads && (f.contact == math.MaxInt64 || f.contact > quorumSuspectAfter)
+	return f.checked > 0 && !f.leads && f.silence > quorumSuspectAfter
 }
--- a/internal/stateserver/propose.go
+++ b/internal/stateserver/propose.go
@@ -62,10 +62,9 @@
 }
 
 // retryable reports whether nothing was proposed and another attempt may
-// succeed within the time of an election.
-func (o outcome) retryable() bool {
-	return o.code == codeNoLeader || o.code == codeNoQuorum || o.code == codeBusy
-}
+// succeed within the time of an election. Without a leader for longer than that
+// the caller does better to ask another replica at once.
+func (o outcome) retryable() bool { return o.code == codeNoLeader || o.code == codeBusy }
 
 // waiter waits for the entry at one index.
 type waiter struct {
@@ -104,10 +103,8 @@
 	switch {
 	case errors.As(err, &notLeader):
 		o := failed(codeNoLeader, "%v", err)
-		if o.leader = notLeader.Leader; o.leader == "" {
-			if _, age := l.node.LeaderContact(l.now()); age < 0 || age > quorumSuspectAfter {
-				o.code = codeNoQuorum
-			}
+		if o.leader = notLeader.Leader; o.leader == "" && l.leaderSilence() > quorumSuspectAfter {
+			o.code = codeNoQuorum
 		}
 		return o
 	case errors.Is(err, raft.ErrBusy):
@@ -117,6 +114,15 @@
 	}
 }
 
+// leaderSilence returns the time since the last contact with a leader, or since
+// the start of the replica if there was none.
+func (l *loop) leaderSilence() time.Duration {
+	if _, age := l.node.LeaderContact(l.now()); age >= 0 {
+		return age
+	}
+	return l.now() - l.started
+}
+
 // answerWaiter answers the proposal at the index of an applied entry.
 func (l *loop) answerWaiter(e *wirepb.LogEntry, result *wirepb.Result) {
 	w, ok := l.waiters[e.GetIndex()]
--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -63,6 +63,9 @@
 	leads   bool
 	contact time.Duration
 	leader  string
+	// silence is the time without a leader, counted from the start of the replica
+	// where none was heard yet.
+	silence time.Duration
 	// confirmed is when the probe was sent that the last heartbeat of the leader
 	// with a valid lease echoed.
 	confirmed       time.Duration
@@ -92,6 +95,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.checked, f.leads, f.contact, f.leader = now, l.node.LeaseValid(now), age, leader
+	f.silence = l.leaderSilence()
 	l.s.leader.Store(&leader)
 }
 
