--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -150,7 +150,8 @@
 }
 
 // SetDomain takes a failure domain in or out of service. Sending the same again
-// changes nothing.
+// changes nothing. Unlike a manifest, an order ends with ctx: it has no number of
+// its own, so that it could undo a newer one when it is carried out late.
 func (s *Service) SetDomain(ctx context.Context, domain string, out bool) error {
 	result, err := s.propose(ctx, &wirepb.Command{Body: &wirepb.Command_Order{
 		Order: &wirepb.Order{Kind: config.TargetFailureDomain, Target: domain, Out: out, Next: true},
