Ask the members for the leader as soon as one replica says that it does not lead

A round of questions waits up to five seconds for replicas that are silent. The members were asked after it, so that an empty replica joined late when one of its seeds was lost as well.

--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -86,15 +86,19 @@
 	defer cancel()
 	answers := make([]joinAnswer, len(s.settings.Replicas))
 	var wg sync.WaitGroup
+	var throughMembers sync.Once
 	for i, r := range s.settings.Replicas {
-		if r.Name != s.settings.ID {
-			wg.Go(func() { answers[i] = s.askJoin(ctx, r.Address) })
+		if r.Name == s.settings.ID {
+			continue
 		}
+		wg.Go(func() {
+			answers[i] = s.askJoin(ctx, r.Address)
+			if answers[i].notLeader {
+				throughMembers.Do(func() { s.joinThroughMembers(ctx, r.Address) })
+			}
+		})
 	}
 	wg.Wait()
-	if i := slices.IndexFunc(answers, func(a joinAnswer) bool { return a.notLeader }); i >= 0 {
-		s.joinThroughMembers(ctx, s.settings.Replicas[i].Address)
-	}
 	if s.settings.JoinOnly || s.settings.coordinator() != s.settings.ID {
 		return
 	}
