--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -48,18 +48,18 @@
 	// logBytes the size of the entries that were applied since the last one.
 	snapshotFrom uint64
 	logBytes     int64
-	// started is when the loop was set up.
-	started time.Duration
-	clock   leaderClock
-	repair  repair
-	role    raft.Role
-	err     error
+	// leaderAt is the last contact with a leader, or the start of the loop.
+	leaderAt time.Duration
+	clock    leaderClock
+	repair   repair
+	role     raft.Role
+	err      error
 }
 
 func newLoop(s *Server, rec *wal.Recovered) (*loop, error) {
 	l := &loop{
 		s: s, log: s.log, machine: statemachine.New(),
-		jobs: make(chan raft.Ready, 1), done: make(chan error, 1), waiters: map[uint64]waiter{}, started: s.opts.Now(),
+		jobs: make(chan raft.Ready, 1), done: make(chan error, 1), waiters: map[uint64]waiter{}, leaderAt: s.opts.Now(),
 	}
 	if rec.Snapshot != nil {
 		if err := l.restore(rec.Snapshot); err != nil {
--- a/internal/stateserver/propose.go
+++ b/internal/stateserver/propose.go
@@ -103,7 +103,7 @@
 	switch {
 	case errors.As(err, &notLeader):
 		o := failed(codeNoLeader, "%v", err)
-		if o.leader = notLeader.Leader; o.leader == "" && l.leaderSilence() > quorumSuspectAfter {
+		if o.leader = notLeader.Leader; o.leader == "" && l.leaderSilence(l.now()) > quorumSuspectAfter {
 			o.code = codeNoQuorum
 		}
 		return o
@@ -114,14 +114,9 @@
 	}
 }
 
-// leaderSilence returns the time since the last contact with a leader, or since
-// the start of the replica if there was none.
-func (l *loop) leaderSilence() time.Duration {
-	if _, age := l.node.LeaderContact(l.now()); age >= 0 {
-		return age
-	}
-	return l.now() - l.started
-}
+// leaderSilence returns the time since the last contact with a leader, the own
+// leadership included, or since the start of the replica.
+func (l *loop) leaderSilence(now time.Duration) time.Duration { return now - l.leaderAt }
 
 // answerWaiter answers the proposal at the index of an applied entry.
 func (l *loop) answerWaiter(e *wirepb.LogEntry, result *wirepb.Result) {
--- a/internal/stateserver/refuse_test.go
+++ b/internal/stateserver/refuse_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"bilberryhub/internal/raft"
 )
 
 // operatorPatience is how long operators wait for an answer before they ask
@@ -29,3 +31,21 @@
 		t.Fatalf("refused with %s", r.GetCode())
 	}
 }
+
+// Guards against a replica that has just lost the leadership and refuses changes
+// at once, as if there had been no leader since its start.
+func TestFormerLeaderWaitsForTheElection(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll()
+	old := c.leader()
+	time.Sleep(quorumSuspectAfter + electionTimeout)
+	if c.leader() != old {
+		old = c.leader()
+	}
+	c.isolate(old, true)
+	c.await("the leader to step down", func() bool { return c.status(old).Raft.Role != raft.Leader })
+	if c.servers[old].hearsNoLeader() {
+		t.Fatal("the replica claims to miss a leader for longer than an election, but has just been one")
+	}
+	c.await("the replica to miss a leader", c.servers[old].hearsNoLeader)
+}
--- a/internal/stateserver/subscribe.go
+++ b/internal/stateserver/subscribe.go
@@ -79,6 +79,8 @@
 	leader, age := l.node.LeaderContact(now)
 	if age < 0 {
 		leader, age = "", math.MaxInt64
+	} else {
+		l.leaderAt = max(l.leaderAt, now-age)
 	}
 	role := raft.Follower
 	if leader == l.s.id {
@@ -95,7 +97,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.checked, f.leads, f.contact, f.leader = now, l.node.LeaseValid(now), age, leader
-	f.silence = l.leaderSilence()
+	f.silence = l.leaderSilence(now)
 	l.s.leader.Store(&leader)
 }
 
