--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -79,7 +79,7 @@
 }
 
 // joinRound asks every other replica of the settings once, and the members that
-// they name when none of them leads. A snapshot ends the round at once; the
+// the first of them names that does not lead. A snapshot ends the formation; the
 // coordinator decides when all others belong to no cluster.
 func (s *Server) joinRound(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
