Bound the head of a response and what is skipped of a late one

Cause: net/http bounds neither a line of a head nor their number, and informational responses and the body of a late response were read without a limit. Over a bound the connection is closed and the exchange counts as failed at the backend server.

Calls about reservations use a new connection: their responses name no request, so that a late second copy of an earlier response was taken for the outcome of the call.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,8 +41,14 @@
 	// used while the backend server is closing it.
 	idleMargin = 700 * time.Millisecond
 	// maxStaleResponses bounds the responses that are read for one request: those
-	// to earlier requests are skipped.
+	// to earlier requests are skipped. maxSkippedBytes bounds the body of one that is
+	// skipped; a new connection costs less than reading more.
 	maxStaleResponses = 3
+	maxSkippedBytes   = 256 << 10
+	// maxHeadBytes bounds the status line and header of a response together with the
+	// informational responses before it, and maxInformational the number of these.
+	maxHeadBytes     = 64 << 10
+	maxInformational = 8
 )
 
 var connectionsDialed = metrics.GetOrCreateCounter(`bilberry_backend_connections_total`)
@@ -66,6 +72,9 @@
 	ErrRequestMismatch = errors.New("the answer belongs to another request")
 	// ErrContentEncoding means that the response has a Content-Encoding.
 	ErrContentEncoding = errors.New("the answer is encoded")
+	// ErrTooLarge means that a part of the response that has to be held in memory, or
+	// that is skipped, exceeds its bound.
+	ErrTooLarge = errors.New("the answer exceeds a bound")
 )
 
 // Request is one request to one backend server.
@@ -107,6 +116,7 @@
 type conn struct {
 	net.Conn
 	address string
+	source  *headLimiter
 	r       *bufio.Reader
 	// expires is the time from which on an idle connection must not be used.
 	expires time.Time
@@ -162,7 +172,41 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, address: r.Address, r: bufio.NewReaderSize(nc, 4<<10)}, nil
+	return newConn(nc, r.Address), nil
+}
+
+func newConn(nc net.Conn, address string) *conn {
+	source := &headLimiter{r: nc}
+	return &conn{Conn: nc, address: address, source: source, r: bufio.NewReaderSize(source, readBufferBytes)}
+}
+
+// readBufferBytes is the size of the read buffer of a connection. It also bounds a
+// chunk-size line and the trailer of a chunked body, which net/http reads within the
+// buffer.
+const readBufferBytes = 4 << 10
+
+// headLimiter is a reader that fails after a number of bytes while the head of a
+// response is read: net/http bounds neither a line nor their number.
+type headLimiter struct {
+	r io.Reader
+	// isHead is set while a head is read, and left is what may still be read of it.
+	isHead bool
+	left   int
+	// exceeded is set when a head was larger. The parser reports other errors then.
+	exceeded bool
+}
+
+func (l *headLimiter) Read(buf []byte) (int, error) {
+	if !l.isHead {
+		return l.r.Read(buf)
+	}
+	if l.left <= 0 {
+		l.exceeded = true
+		return 0, ErrTooLarge
+	}
+	n, err := l.r.Read(buf[:min(len(buf), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // takeIdle removes an idle connection from the pool, the one used last, and returns
@@ -291,7 +335,7 @@
 		}()
 	}
 	for range maxStaleResponses {
-		response, err := readHeader(c.r, r.Method)
+		response, err := c.readHeader(r.Method)
 		if err != nil {
 			return nil, errors.Annotatef(err, "answer of %s", c.address)
 		}
@@ -305,7 +349,11 @@
 		if r.NewConnection || response.ContentLength < 0 && !isChunked(response) {
 			break
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+		if err == nil && n > maxSkippedBytes {
+			err = errors.Annotatef(ErrTooLarge, "body of more than %d bytes", maxSkippedBytes)
+		}
+		if err != nil {
 			return nil, errors.Annotatef(err, "late answer of %s", c.address)
 		}
 	}
@@ -313,10 +361,16 @@
 }
 
 // readHeader reads the status line and header of the next response that is not
-// informational (status 1xx).
-func readHeader(r *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(r, &http.Request{Method: method})
+// informational (status 1xx). The error is ErrTooLarge over maxHeadBytes or
+// maxInformational.
+func (c *conn) readHeader(method string) (*http.Response, error) {
+	c.source.isHead, c.source.left = true, maxHeadBytes
+	defer func() { c.source.isHead = false }()
+	for range maxInformational + 1 {
+		response, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if c.source.exceeded {
+			return nil, errors.Annotatef(ErrTooLarge, "head of more than %d bytes", maxHeadBytes)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -327,6 +381,7 @@
 			return response, nil
 		}
 	}
+	return nil, errors.Annotatef(ErrTooLarge, "more than %d informational responses", maxInformational)
 }
 
 // isChunked reports whether the body has the chunked transfer encoding.
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -111,6 +111,9 @@
 	response, err := g.exchanges.Do(ctx, exchange.Request{
 		Address: res.holder.Address, Method: http.MethodPost, Target: target, Host: res.holder.Address,
 		Header: g.dialect.ReservationHeader(res.holder.ID), Body: body,
+		// The response states no request, so that on a reused connection a late copy
+		// of an earlier response would be taken for it.
+		NewConnection: true,
 	})
 	if err != nil {
 		return errors.Trace(err)
