End the wait for the record of an outcome around the deadline

The record goes on in the background from the deadline on, at least 100 ms after the request has ended. What the caller gets is the same, in time.

--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -16,6 +16,10 @@
 // and the request must still have time to run afterwards.
 const claimTimeout = 3 * time.Second
 
+// recordGrace is how long the recording of an outcome may delay a response after the
+// deadline of the request. It is below deadlineGrace.
+const recordGrace = 100 * time.Millisecond
+
 // maxRecordedBodyBytes bounds the response stored with a claim. Larger responses
 // are recorded as done without their body.
 const maxRecordedBodyBytes = 16 << 10
@@ -40,7 +44,9 @@
 }
 
 // recordOutcome stores the outcome of a claimed request. A refusal with RunNo
-// releases the key, so that the caller can send the request again.
+// releases the key, so that the caller can send the request again. Around the deadline
+// the outcome is recorded in the background if the state processes don't answer: the
+// caller gets nothing more from waiting.
 func (s *Server) recordOutcome(r *request, claimResult claim.Result, stored *storedResponse, refErr *refusal.Error) {
 	o := &wirepb.ClaimOutcome{Account: r.account.Name, Key: r.key, ClaimId: claimResult.ClaimID}
 	switch {
@@ -55,7 +61,13 @@
 	default:
 		o.Kind = wirepb.ClaimOutcome_KIND_UNKNOWN
 	}
-	if err := s.claims.Record(context.Background(), o); err != nil {
+	until := time.Now().Add(recordGrace)
+	if r.deadline.After(until) {
+		until = r.deadline
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	if err := s.claims.Record(ctx, o); err != nil {
 		s.log.Warn("outcome of a claimed request is not recorded yet", zap.String("request_id", r.id), zap.Error(err))
 	}
 }
