--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -30,6 +30,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/backoff"
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/invariant"
 	"bilberryhub/internal/observe"
@@ -49,8 +50,13 @@
 	// state process fails, one failover ends before the 3 s after which a
 	// configuration counts as stale.
 	unusableTimeout = 1500 * time.Millisecond
-	// retryDelay is the pause before the next state process is tried.
-	retryDelay = 200 * time.Millisecond
+	// subscribeTimeout replaces unusableTimeout until the first message: a state
+	// process may take as long for the handshakes of many processes.
+	subscribeTimeout = 4 * time.Second
+	// retryBase and retryMax bound the pause before the next state process is tried;
+	// see backoff.Backoff.
+	retryBase = 200 * time.Millisecond
+	retryMax  = 2 * time.Second
 	// peerPullAge is the age of the configuration from which on peers are asked as
 	// well.
 	peerPullAge = 1500 * time.Millisecond
@@ -82,7 +88,10 @@
 	// StatesNow, if set, replaces States and returns the current addresses.
 	StatesNow func() []string
 	Wire      wire.Options
-	Log       *zap.Logger
+	// Clients, if set, holds the sessions with the state processes. Otherwise each
+	// subscription opens one of its own, with Wire.
+	Clients *wire.Pool
+	Log     *zap.Logger
 	// OnChange is called after each publication, one call at a time. It must
 	// not block.
 	OnChange func(*config.Version)
@@ -169,13 +178,17 @@
 	wg.Go(func() { s.pullLoop(ctx) })
 	// Processes start at different state processes to spread the load.
 	first := xxhash.Sum64String(s.opts.EntryID)
+	pause := backoff.Backoff{Base: retryBase, Max: retryMax}
 	for i := first; ctx.Err() == nil; i++ {
 		stateAddresses := s.stateAddresses()
 		if len(stateAddresses) == 0 {
 			break
 		}
 		address := stateAddresses[i%uint64(len(stateAddresses))]
-		err := s.runSubscription(ctx, address)
+		confirmed, err := s.runSubscription(ctx, address)
+		if confirmed {
+			pause.Reset()
+		}
 		s.mu.Lock()
 		s.state.connected = false
 		s.lastError = errText(err)
@@ -183,7 +196,7 @@
 		if ctx.Err() == nil {
 			s.opts.Log.Info("subscription to state process ended", zap.String("address", address), observe.Error(err))
 		}
-		sleep(ctx, retryDelay)
+		sleep(ctx, pause.Next())
 	}
 	wg.Wait()
 }
--- a/internal/configsync/follow.go
+++ b/internal/configsync/follow.go
@@ -24,25 +24,27 @@
 	// unusableSince; it is empty while it is usable.
 	unusableReason string
 	unusableSince  time.Time
+	// confirmed is set if the state process has confirmed the configuration.
+	confirmed bool
 }
 
 // runSubscription subscribes to the state process at address and processes its
 // messages. It returns an error when the stream breaks or the state process has not
-// been usable for unusableTimeout.
-func (s *Syncer) runSubscription(ctx context.Context, address string) error {
+// been usable for unusableTimeout, and whether the configuration was confirmed.
+func (s *Syncer) runSubscription(ctx context.Context, address string) (confirmed bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
-	client := wire.NewClient(address, s.opts.Wire)
-	defer client.Close()
+	client, closeClient := s.client(address)
+	defer closeClient()
 	// The watchdog ends a subscription that receives nothing, and one that blocks in
 	// Send because the state process does not read.
-	watchdog := time.AfterFunc(unusableTimeout, cancel)
+	watchdog := time.AfterFunc(subscribeTimeout, cancel)
 	defer watchdog.Stop()
 	sub := &subscription{syncer: s, peer: address}
 	first := sub.nextProbe()
 	stream, err := client.Open(ctx, first)
 	if err != nil {
 		cancel()
-		return errors.Annotatef(err, "subscribe to %s", address)
+		return false, errors.Annotatef(err, "subscribe to %s", address)
 	}
 	sub.stream = stream
 	var wg sync.WaitGroup
@@ -53,16 +55,25 @@
 	for {
 		env, err := stream.Recv()
 		if err != nil {
-			return errors.Annotatef(err, "subscription to %s", address)
+			return sub.confirmed, errors.Annotatef(err, "subscription to %s", address)
 		}
 		// If the watchdog has fired already, the stream is closed and the next Recv fails.
 		watchdog.Reset(unusableTimeout)
 		if err := sub.receive(env); err != nil {
-			return errors.Trace(err)
+			return sub.confirmed, errors.Trace(err)
 		}
 	}
 }
 
+// client returns a client for a state process, and a function that releases it.
+func (s *Syncer) client(address string) (*wire.Client, func()) {
+	if s.opts.Clients != nil {
+		return s.opts.Clients.Get(address), func() {}
+	}
+	client := wire.NewClient(address, s.opts.Wire)
+	return client, func() { _ = client.Close() }
+}
+
 // nextProbe returns a Subscribe message with a new probe. The time recorded for the
 // probe is before the time at which it is sent.
 func (sub *subscription) nextProbe() *wirepb.Envelope {
@@ -132,7 +143,7 @@
 	if !ok {
 		return sub.markUnusable("does not echo probes")
 	}
-	sub.unusableReason = ""
+	sub.unusableReason, sub.confirmed = "", true
 	s.markConfirmed(sentAt)
 	return nil
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/fleet"
+	"bilberryhub/internal/fleetfeed"
 	"bilberryhub/internal/stateserver"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
@@ -67,13 +69,16 @@
 // subscriptions of gateways at one state process. It is safe for concurrent use.
 type Service struct {
 	log *zap.Logger
-	// started is the time of the boot clock at which the service was created.
-	started time.Duration
 
-	mu          sync.Mutex
-	state       State
-	table       *fleet.Table
+	mu    sync.Mutex
+	state State
+	feed  *fleetfeed.Feed
+	// subscribers are the subscribed gateways.
 	subscribers map[*subscriber]struct{}
+	// changed is closed, and replaced, when subscribers have to look for updates.
+	// updateAt is when a timer does so, or 0.
+	changed  chan struct{}
+	updateAt time.Duration
 
 	// changes are the changes in progress, by the digest of their document.
 	changes singleflight.Group
@@ -88,10 +93,7 @@
 // New returns a service without replicated state. Until SetState is called, changes
 // fail with ErrUnavailable.
 func New(log *zap.Logger) *Service {
-	return &Service{
-		log: log, started: bootclock.Now(), table: fleet.NewTable(),
-		subscribers: map[*subscriber]struct{}{},
-	}
+	return &Service{log: log, feed: fleetfeed.New(bootclock.Now()), changed: make(chan struct{}), subscribers: map[*subscriber]struct{}{}}
 }
 
 // SetState sets the replicated state. It is called at the start and again after the
@@ -110,43 +112,42 @@
 }
 
 // Announce records an announcement and forwards it to all gateways: a change at once,
-// a repetition with the next heartbeat. It returns ErrUnavailable if no gateway is
-// subscribed.
+// a repetition with a later update. That a backend server drains was sent to the
+// gateways when Announce returns. It returns ErrUnavailable if no gateway is subscribed.
 func (s *Service) Announce(b fleet.BackendServer) error {
 	announcements.Inc()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.subscribers) == 0 {
-		// An announcement that reaches no gateway must not be acknowledged: the
-		// sender would rely on it when it leaves.
-		return errors.Annotate(ErrUnavailable, "no gateway listens here")
-	}
-	b.SeenAt = bootclock.Now()
-	s.publish(s.table.Merge(b))
-	s.markRefreshed(b.ID)
-	return nil
+	return s.change(func(now time.Duration) []*fleet.BackendServer {
+		b.SeenAt = now
+		return s.feed.Announce(b)
+	})
 }
 
-// Leave records that a backend server has left. BornMs is the start of its lifetime
-// in Unix milliseconds, or 0 if the sender does not state it. It returns
-// ErrUnavailable if no gateway is subscribed.
+// Leave records that a backend server has left, which was sent to the gateways when
+// Leave returns. BornMs is the start of its lifetime in Unix milliseconds, or 0 if the
+// sender does not state it. It returns ErrUnavailable if no gateway is subscribed.
 func (s *Service) Leave(id string, bornMs uint64) error {
+	return s.change(func(now time.Duration) []*fleet.BackendServer { return s.feed.Leave(id, bornMs, now) })
+}
+
+// change changes the feed. It returns ErrUnavailable if no gateway is subscribed.
+func (s *Service) change(merge func(now time.Duration) []*fleet.BackendServer) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.subscribers) == 0 {
+	if s.feed.Subscribed() == 0 {
+		s.mu.Unlock()
+		// An announcement that reaches no gateway must not be acknowledged: the
+		// sender would rely on it when it leaves.
 		return errors.Annotate(ErrUnavailable, "no gateway listens here")
 	}
-	if s.table.Get(id) == nil {
-		// Another process may have its announcements; the gateways merge the updates
-		// of all processes.
-		s.publish(s.table.Merge(fleet.BackendServer{ID: id, Gone: true, BornMs: bornMs, SeenAt: bootclock.Now()}))
-		return nil
+	changed := merge(bootclock.Now())
+	s.publish(changed)
+	s.mu.Unlock()
+	if slices.ContainsFunc(changed, func(b *fleet.BackendServer) bool { return !b.Usable() }) {
+		s.waitSent()
 	}
-	s.publish(s.table.Leave(id, bornMs))
 	return nil
 }
 
-// publish marks changed backend servers to be sent to all gateways at once. The
+// publish logs changed backend servers and makes the subscribers receive them. The
 // caller holds mu.
 func (s *Service) publish(servers []*fleet.BackendServer) {
 	for _, b := range servers {
@@ -154,18 +155,9 @@
 		s.log.Info("backend server changed", zap.String("backend_server", b.ID), zap.String("service", b.Service),
 			zap.String("address", b.Address), zap.String("failure_domain", b.FailureDomain), zap.Bool("draining", b.Draining),
 			zap.Bool("gone", b.Gone), zap.Uint64("born_ms", b.BornMs), zap.Uint64("sequence", b.Sequence))
-		for sub := range s.subscribers {
-			sub.changed[b.ID] = struct{}{}
-			sub.wake()
-		}
 	}
-}
-
-// markRefreshed marks a backend server that has announced itself again; it is sent
-// with the next heartbeat. The caller holds mu.
-func (s *Service) markRefreshed(id string) {
-	for sub := range s.subscribers {
-		sub.refreshed[id] = struct{}{}
+	if len(servers) > 0 {
+		s.scheduleUpdate()
 	}
 }
 
@@ -222,9 +214,5 @@
 func (s *Service) Dump() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	gateways := []string{}
-	for sub := range s.subscribers {
-		gateways = append(gateways, sub.info.GetId())
-	}
-	return map[string]any{"backend_servers": s.table.All(), "gateways": gateways}
+	return map[string]any{"backend_servers": s.feed.Servers(), "gateways": s.feed.Gateways()}
 }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -99,6 +99,9 @@
 // its place, empties its data directory and joins again: its data is no longer valid,
 // and the other replicas have everything that was accepted.
 func (p *Process) Run(ctx context.Context) error {
+	peers, stopPeers := context.WithCancel(ctx)
+	defer stopPeers()
+	go p.service.followPeers(peers, p.settings.peerAddress(), p.settings.wireOptions())
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"bilberryhub/internal/settings"
 	"bilberryhub/internal/stateserver"
+	"bilberryhub/internal/wire"
 )
 
 //go:embed settings.json
@@ -89,6 +91,18 @@
 	maxVoters = 7
 )
 
+// peerAddress returns the address of this process for connections between processes.
+func (s *Settings) peerAddress() string {
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
+}
+
+// wireOptions returns the options of connections to other control processes.
+func (s *Settings) wireOptions() wire.Options {
+	return wire.Options{Self: wire.Identity{
+		Kind: wire.KindState, ID: s.IP, Incarnation: rand.Uint64(), FailureDomain: s.FailureDomain,
+	}}
+}
+
 // State returns the settings of the state replica within this process. It returns an
 // error for a seed that is not an IP address with a port.
 func (s *Settings) State() (stateserver.Settings, error) {
@@ -96,7 +110,7 @@
 	if err != nil {
 		return stateserver.Settings{}, errors.Trace(err)
 	}
-	self := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
+	self := s.peerAddress()
 	out := stateserver.Settings{
 		ID: s.IP, FailureDomain: s.FailureDomain, Listen: self, AdminListen: s.AdminListen, DataDir: s.DataDir,
 		LogLevel: s.LogLevel, SnapshotEntries: snapshotEntries,
--- a/internal/control/subscribe.go
+++ b/internal/control/subscribe.go
@@ -4,177 +4,166 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
-	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
 
-const (
-	// heartbeatInterval is the time between two updates without changes. Gateways
-	// consider a state process silent after three missed heartbeats.
-	heartbeatInterval = 500 * time.Millisecond
-	// announcementRetention is how long a backend server is kept after its last
-	// announcement. One that has left is kept as well, so that its delayed
-	// announcements are recognized; the delays are of the order of seconds.
-	announcementRetention = 60 * time.Second
+// heartbeatInterval is the longest time between two updates to a gateway. Gateways
+// consider a state process silent after three missed heartbeats.
+const heartbeatInterval = 500 * time.Millisecond
+
+var (
+	updatesSent         = metrics.GetOrCreateCounter(`bilberry_control_fleet_updates_sent_total`)
+	completeUpdatesSent = metrics.GetOrCreateCounter(`bilberry_control_fleet_complete_updates_sent_total`)
 )
 
-// subscriber is a subscribed gateway. Its fields are guarded by the mutex of the
-// service, except for info, which does not change, and signal.
+// subscriber is one subscription. Its fields are guarded by the mutex of the service,
+// except for info, which does not change.
 type subscriber struct {
+	// info is nil if the subscriber isn't a gateway.
 	info *wirepb.GatewayInfo
-	// changed are the ids of backend servers to send at once, and refreshed those to
-	// send with the next heartbeat.
-	changed   map[string]struct{}
-	refreshed map[string]struct{}
-	// gatewaysChanged is set if the list of gateways must be sent.
-	gatewaysChanged bool
-	// probe is the last probe of the gateway, which updates echo.
-	probe uint64
-	// signal wakes the sending goroutine.
-	signal chan struct{}
-}
-
-// wake makes the sending goroutine send an update.
-func (sub *subscriber) wake() {
-	select {
-	case sub.signal <- struct{}{}:
-	default:
-	}
+	// position is the position of the last update that was sent.
+	position uint64
 }
 
-// serve sends updates to one gateway until the stream or ctx ends.
+// serve sends the updates of the feed to one subscriber until the stream or ctx ends.
+// Changes of backend servers are sent as soon as they have been collected, and
+// everything else at intervals that start at the time of the subscription, so that the
+// sends to many gateways are spread.
 func (s *Service) serve(ctx context.Context, st *wire.Stream, first *wirepb.FleetSubscribe) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	sub := &subscriber{
-		info: first.GetSelf(), probe: first.GetProbe(), signal: make(chan struct{}, 1),
-		changed: map[string]struct{}{}, refreshed: map[string]struct{}{}, gatewaysChanged: true,
-	}
+	sub := &subscriber{info: first.GetSelf()}
 	s.addSubscriber(sub)
 	defer s.removeSubscriber(sub)
 	go func() {
+		// Subscribers send nothing more, but older gateways send probes.
 		defer cancel()
 		for {
-			env, err := st.Recv()
-			if err != nil {
+			if _, err := st.Recv(); err != nil {
 				return
 			}
-			s.mu.Lock()
-			sub.probe = env.GetFleetSubscribe().GetProbe()
-			s.mu.Unlock()
 		}
 	}()
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		heartbeat := false
+		updates, last, changed := s.updatesFor(sub)
+		for _, u := range updates {
+			if err := st.SendPrepared(u); err != nil {
+				return nil
+			}
+		}
+		updatesSent.Add(len(updates))
+		s.recordSent(sub, last)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-sub.signal:
+		case <-changed:
 		case <-ticker.C:
-			heartbeat = true
-		}
-		if err := st.Send(&wirepb.Envelope{Body: &wirepb.Envelope_FleetUpdate{FleetUpdate: s.update(sub, heartbeat)}}); err != nil {
-			return nil
 		}
 	}
 }
 
-// addSubscriber registers a gateway and marks all backend servers to be sent to it.
 func (s *Service) addSubscriber(sub *subscriber) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.subscribers[sub] = struct{}{}
-	for _, b := range s.table.All() {
-		sub.changed[b.ID] = struct{}{}
+	if sub.info == nil {
+		return
 	}
-	sub.wake()
-	s.markGatewaysChanged()
-	s.log.Info("gateway subscribed", zap.String("gateway", sub.info.GetId()), zap.Int("gateways", len(s.subscribers)))
+	s.subscribers[sub] = struct{}{}
+	s.feed.Subscribe(sub.info)
+	s.log.Info("gateway subscribed", zap.String("gateway", sub.info.GetId()), zap.Int("gateways", s.feed.Subscribed()))
 }
 
 func (s *Service) removeSubscriber(sub *subscriber) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if sub.info == nil {
+		return
+	}
 	delete(s.subscribers, sub)
-	s.markGatewaysChanged()
-	s.log.Info("gateway unsubscribed", zap.String("gateway", sub.info.GetId()), zap.Int("gateways", len(s.subscribers)))
+	s.feed.Unsubscribe(sub.info.GetId())
+	s.log.Info("gateway unsubscribed", zap.String("gateway", sub.info.GetId()), zap.Int("gateways", s.feed.Subscribed()))
 }
 
-// markGatewaysChanged makes all subscribers receive the list of gateways. The caller
-// holds mu.
-func (s *Service) markGatewaysChanged() {
-	for other := range s.subscribers {
-		other.gatewaysChanged = true
-		other.wake()
-	}
+// recordSent records that a subscriber was sent all updates up to a position.
+func (s *Service) recordSent(sub *subscriber, position uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sub.position = position
 }
 
-// update returns everything that has not been sent to a gateway yet. Refreshed
-// backend servers are included in heartbeats only. A heartbeat also removes backend
-// servers whose retention has ended.
-func (s *Service) update(sub *subscriber, heartbeat bool) *wirepb.FleetUpdate {
+// waitSent waits until the changes made so far were sent to all gateways that are
+// subscribed, at most deliveryTimeout. It is called before the end of a backend server
+// is acknowledged: this process may fail right after.
+func (s *Service) waitSent() {
+	deadline := bootclock.Now() + deliveryTimeout
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := bootclock.Now()
-	u := &wirepb.FleetUpdate{Probe: sub.probe, UptimeMs: uint64((now - s.started).Milliseconds())}
-	for id := range sub.changed {
-		if b := s.table.Get(id); b != nil {
-			u.BackendServers = append(u.BackendServers, encode(b, now))
-		}
-		delete(sub.refreshed, id)
+	target, hasChanges := s.feed.Position()
+	s.mu.Unlock()
+	if hasChanges {
+		target++
 	}
-	clear(sub.changed)
-	if heartbeat {
-		for id := range sub.refreshed {
-			if b := s.table.Get(id); b != nil {
-				u.BackendServers = append(u.BackendServers, encode(b, now))
-			}
-		}
-		clear(sub.refreshed)
-		s.table.Forget(now - announcementRetention)
-	}
-	if heartbeat || sub.gatewaysChanged {
-		if s.state != nil {
-			u.StateAddresses = s.state.Addresses()
-		}
+	for bootclock.Now() < deadline && !s.isSent(target) {
+		time.Sleep(deliveryPollInterval)
 	}
-	if sub.gatewaysChanged {
-		sub.gatewaysChanged = false
-		for other := range s.subscribers {
-			u.Gateways = append(u.Gateways, other.info)
+}
+
+// isSent reports whether all gateways were sent the update at a position.
+func (s *Service) isSent(position uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sub := range s.subscribers {
+		if sub.position < position {
+			return false
 		}
 	}
-	return u
+	return true
 }
 
-// encode returns the message for a backend server. Times are encoded relative to now,
-// because the receiver has another clock.
-func encode(b *fleet.BackendServer, now time.Duration) *wirepb.BackendServerInfo {
-	return &wirepb.BackendServerInfo{
-		Id: b.ID, Service: b.Service, Address: b.Address, FailureDomain: b.FailureDomain, Build: b.Build,
-		Slots: uint32(b.Slots), Draining: b.Draining, Gone: b.Gone,
-		ColdRemainingMs: uint32(max(0, b.ColdUntil-now).Milliseconds()), BornMs: b.BornMs, Sequence: b.Sequence,
-		AgeMs: uint32(max(0, now-b.SeenAt).Milliseconds()),
+const (
+	// deliveryTimeout bounds the wait for slow gateways before an acknowledgement:
+	// backend servers wait a second for it.
+	deliveryTimeout      = 250 * time.Millisecond
+	deliveryPollInterval = 10 * time.Millisecond
+)
+
+// updatesFor returns the updates that a subscriber needs, the position that it has
+// then, and a channel that is closed when backend servers have changed.
+func (s *Service) updatesFor(sub *subscriber) (updates []*wire.Prepared, last uint64, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := bootclock.Now()
+	if s.state != nil {
+		s.feed.SetAddresses(s.state.Addresses())
 	}
+	s.feed.Build(now)
+	updates, last = s.feed.After(sub.position, now)
+	if len(updates) > 0 && updates[0].Envelope().GetFleetUpdate().GetComplete() {
+		completeUpdatesSent.Inc()
+	}
+	return updates, last, s.changed
 }
 
-// Decode returns the backend server of an update that was received at now, a time of
-// the boot clock.
-func Decode(b *wirepb.BackendServerInfo, now time.Duration) fleet.BackendServer {
-	ms := func(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
-	out := fleet.BackendServer{
-		ID: b.GetId(), Service: b.GetService(), Address: b.GetAddress(), FailureDomain: b.GetFailureDomain(),
-		Build: b.GetBuild(), Slots: int(b.GetSlots()), Draining: b.GetDraining(), Gone: b.GetGone(),
-		BornMs: b.GetBornMs(), Sequence: b.GetSequence(), SeenAt: now - ms(b.GetAgeMs()),
-	}
-	if b.GetColdRemainingMs() > 0 {
-		out.ColdUntil = now + ms(b.GetColdRemainingMs())
+// scheduleUpdate makes the subscribers look for updates when the changes of backend
+// servers have been collected. The caller holds mu.
+func (s *Service) scheduleUpdate() {
+	interval := s.feed.Interval()
+	due := bootclock.Now() + interval
+	if s.updateAt > 0 && s.updateAt <= due {
+		return
 	}
-	return out
+	s.updateAt = due
+	time.AfterFunc(interval, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.updateAt = 0
+		close(s.changed)
+		s.changed = make(chan struct{})
+	})
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -68,8 +69,10 @@
 	// tokens.
 	defaultOutputTokens = 512
 	// coldRateShare is the share of the allowed request rate of cold backend
-	// servers that all gateways use together.
+	// servers that all gateways use together. coldTurnShare replaces it where the
+	// gateways take turns: the turns of two seconds may meet within one.
 	coldRateShare = 1.0
+	coldTurnShare = 0.6
 )
 
 // pick is the result of a choice: where a request runs.
@@ -122,7 +125,7 @@
 			continue
 		}
 		key := b.Key()
-		if now < b.ColdUntil && service.ColdPerSecond > 0 && !g.workTable.hasColdCapacity(key, coldLimit(service, gateways), now) {
+		if now < b.ColdUntil && service.ColdPerSecond > 0 && !g.workTable.hasColdCapacity(key, g.coldLimit(service, key, gateways, now), now) {
 			continue
 		}
 		silence := maxMissedAnnouncements * milliseconds(g.settings.AnnounceMs)
@@ -163,10 +166,20 @@
 	return p, nil
 }
 
-// coldLimit returns this gateway's part of the requests that a cold backend
-// server may get in a second, at least 1.
-func coldLimit(s *manifest.RoutedService, gateways int) int {
-	return max(1, int(coldRateShare*s.ColdPerSecond/float64(gateways)))
+// coldLimit returns this gateway's part of the requests that a cold backend server may
+// get in a second. If there are more gateways than such requests, the gateways take
+// turns: in each second, a pseudorandom choice of them may send one.
+func (g *Gateway) coldLimit(s *manifest.RoutedService, backend uint64, gateways int, now time.Duration) int {
+	if perGateway := coldRateShare * s.ColdPerSecond / float64(gateways); perGateway >= 1 {
+		return int(perGateway)
+	}
+	turn := binary.LittleEndian.AppendUint64(nil, g.incarnation)
+	turn = binary.LittleEndian.AppendUint64(turn, backend)
+	turn = binary.LittleEndian.AppendUint64(turn, uint64(now/coldWindow))
+	if orderPosition(xxhash.Sum64(turn)) < coldTurnShare*s.ColdPerSecond/float64(gateways) {
+		return 1
+	}
+	return 0
 }
 
 // choosePlain chooses the backend server with the least work in proportion to
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,7 +108,7 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.members = newMembers(g)
 	g.sync = configsync.New(configsync.Options{
-		EntryID: s.ID, StatesNow: g.states, Wire: g.wireOptions(), Log: log, Now: bootclock.Time,
+		EntryID: s.ID, StatesNow: g.states, Clients: g.members.clients, Log: log, Now: bootclock.Time,
 	})
 	return g
 }
@@ -123,7 +123,7 @@
 }
 
 func (g *Gateway) wireOptions() wire.Options {
-	return wire.Options{Self: wire.Identity{
+	return wire.Options{KeepAlive: sessionKeepAlive, Self: wire.Identity{
 		Kind: wire.KindEntry, ID: g.settings.ID, Incarnation: g.incarnation, FailureDomain: g.settings.FailureDomain,
 	}}
 }
@@ -132,6 +132,7 @@
 func (g *Gateway) info() *wirepb.GatewayInfo {
 	return &wirepb.GatewayInfo{
 		Id: g.settings.ID, Address: g.settings.ShareListen, FailureDomain: g.settings.FailureDomain, Incarnation: g.incarnation,
+		Relays: true,
 	}
 }
 
@@ -271,5 +272,6 @@
 	_ = g.ready.Close()
 	_ = g.udp.Close()
 	_ = g.admin.Close()
+	g.members.clients.Close()
 	g.wg.Wait()
 }
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -229,13 +229,13 @@
 }
 
 // mergeVerdicts stores the verdicts of another gateway. They apply for
-// shareLifetime at most, so that a wrong one ends with its sender.
+// minShareLifetime at most, so that a wrong one ends with its sender.
 func (h *health) mergeVerdicts(list []*wirepb.Verdict, now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, v := range list {
 		p := h.entry(v.GetBackend())
-		avoid := min(milliseconds(int64(v.GetAvoidMs())), shareLifetime)
+		avoid := min(milliseconds(int64(v.GetAvoidMs())), minShareLifetime)
 		p.peerAvoidUntil = max(p.peerAvoidUntil, now+avoid)
 	}
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -9,26 +11,24 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
-	"bilberryhub/internal/control"
 	"bilberryhub/internal/fleet"
-	"bilberryhub/internal/observe"
+	"bilberryhub/internal/fleetclient"
+	"bilberryhub/internal/fleetfeed"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
 
 const (
-	// stateSilence is the silence after which a subscription is reopened:
-	// three heartbeats of a state process.
-	stateSilence = 1500 * time.Millisecond
-	// subscribeProbeInterval is the interval between two probes on a subscription.
-	subscribeProbeInterval = 500 * time.Millisecond
-	// resubscribeDelay is the pause between two attempts to subscribe.
-	resubscribeDelay = 200 * time.Millisecond
+	// sessionKeepAlive is the time between two pings of a session with a state
+	// process. Its silence is detected by its updates.
+	sessionKeepAlive = 10 * time.Second
+	// maxLoggedNames limits the names in one log line.
+	maxLoggedNames = 8
 	// stateRetention is how long a state process that is no longer listed
 	// anywhere is still tried.
 	stateRetention = 60 * time.Second
-	// gatewayRetention is how long a gateway counts as alive after a state
-	// process last listed it or a datagram of it last arrived.
+	// gatewayRetention is how long a gateway that no state process lists any more
+	// counts as alive after its last datagram.
 	gatewayRetention = 10 * time.Second
 	// backendRetention is how long a backend server without announcements is
 	// kept. Partitions are shorter, and a backend server that is gone is
@@ -40,6 +40,9 @@
 // processes and the backend servers. It subscribes to each known state process.
 type members struct {
 	g *Gateway
+	// clients holds the sessions with the state processes, which the subscription to
+	// the configuration shares.
+	clients *wire.Pool
 
 	mu       sync.Mutex
 	table    *fleet.Table
@@ -50,8 +53,21 @@
 }
 
 type gatewayEntry struct {
-	info   *wirepb.GatewayInfo
+	info *wirepb.GatewayInfo
+	// address is the parsed address of info; it is invalid if that can't be parsed.
+	address netip.AddrPort
+	// seenAt is when a datagram last arrived, or when a state process last listed it.
 	seenAt time.Duration
+	// listedBy are the addresses of the state processes at which it is subscribed.
+	listedBy []string
+}
+
+// unlist records that the gateway is not subscribed at a state process any more.
+func (e *gatewayEntry) unlist(state string, now time.Duration) {
+	if i := slices.Index(e.listedBy, state); i >= 0 {
+		e.listedBy = slices.Delete(e.listedBy, i, i+1)
+		e.seenAt = max(e.seenAt, now)
+	}
 }
 
 type stateEntry struct {
@@ -60,11 +76,13 @@
 	// address.
 	listedAt       time.Duration
 	lastReceivedAt time.Duration
-	uptime         time.Duration
 }
 
 func newMembers(g *Gateway) *members {
-	return &members{g: g, table: fleet.NewTable(), gateways: map[string]*gatewayEntry{}, states: map[string]*stateEntry{}}
+	return &members{
+		g: g, clients: wire.NewPool(g.wireOptions()), table: fleet.NewTable(),
+		gateways: map[string]*gatewayEntry{}, states: map[string]*stateEntry{},
+	}
 }
 
 // addStates starts a subscription to each address that is new.
@@ -78,7 +96,12 @@
 			sub, cancel := context.WithCancel(ctx)
 			entry = &stateEntry{cancel: cancel}
 			m.states[a] = entry
-			m.g.wg.Go(func() { m.follow(sub, ctx, a) })
+			f := &fleetclient.Follower{
+				Address: a, Clients: m.clients, Self: m.g.info(), Log: m.g.log,
+				Updated: func(u *wirepb.FleetUpdate) { m.mergeUpdate(ctx, a, u) },
+				Lost:    func() { m.unlistAll(a) },
+			}
+			m.g.wg.Go(func() { f.Run(sub) })
 		}
 		entry.listedAt = now
 	}
@@ -93,7 +116,7 @@
 	out := make([]string, 0, len(m.states))
 	var silent []string
 	for a, entry := range m.states {
-		if entry.lastReceivedAt > 0 && now-entry.lastReceivedAt < stateSilence {
+		if entry.lastReceivedAt > 0 && now-entry.lastReceivedAt < fleetclient.Silence {
 			out = append(out, a)
 		} else {
 			silent = append(silent, a)
@@ -107,102 +130,94 @@
 	return silent
 }
 
-// follow keeps a subscription to one state process open, until ctx ends. parent
-// is the context of the subscriptions to the state processes that this one
-// lists.
-func (m *members) follow(ctx, parent context.Context, address string) {
-	lost := true
-	for ctx.Err() == nil {
-		err := m.runSubscription(ctx, parent, address, &lost)
-		if ctx.Err() == nil && !lost {
-			lost = true
-			m.g.log.Warn("subscription to state process lost", zap.String("address", address), observe.Error(err))
-		}
-		sleep(ctx, resubscribeDelay)
-	}
-}
-
-// runSubscription receives from one stream until it fails.
-func (m *members) runSubscription(ctx, parent context.Context, address string, lost *bool) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	client := wire.NewClient(address, m.g.wireOptions())
-	defer client.Close()
-	watchdog := time.AfterFunc(stateSilence, cancel)
-	defer watchdog.Stop()
-	st, err := client.Open(ctx, m.subscribe(0))
-	if err != nil {
-		return err
-	}
-	defer st.Close()
-	go func() {
-		for probe := uint64(1); sleep(ctx, subscribeProbeInterval); probe++ {
-			if st.Send(m.subscribe(probe)) != nil {
-				cancel()
-				return
-			}
-		}
-	}()
-	for {
-		env, err := st.Recv()
-		if err != nil {
-			return err
-		}
-		watchdog.Reset(stateSilence)
-		u := env.GetFleetUpdate()
-		if u == nil {
-			continue
-		}
-		if *lost {
-			*lost = false
-			m.g.log.Info("subscribed to state process", zap.String("address", address))
-		}
-		m.mergeUpdate(parent, address, u)
-	}
-}
-
-// subscribe returns a subscription message. probe counts the probes on a
-// subscription; 0 opens it.
-func (m *members) subscribe(probe uint64) *wirepb.Envelope {
-	return &wirepb.Envelope{Body: &wirepb.Envelope_FleetSubscribe{
-		FleetSubscribe: &wirepb.FleetSubscribe{Self: m.g.info(), Probe: probe},
-	}}
-}
-
 // mergeUpdate merges an update from a state process.
 func (m *members) mergeUpdate(ctx context.Context, from string, u *wirepb.FleetUpdate) {
 	now := bootclock.Now()
 	m.mu.Lock()
 	if entry := m.states[from]; entry != nil {
-		entry.lastReceivedAt, entry.uptime = now, time.Duration(u.GetUptimeMs())*time.Millisecond
+		entry.lastReceivedAt = now
 	}
 	for _, info := range u.GetBackendServers() {
-		for _, b := range m.table.Merge(control.Decode(info, now)) {
+		for _, b := range m.table.Merge(fleetfeed.Decode(info, now)) {
 			m.version++
 			m.g.log.Info("backend server changed", zap.String("backend_server", b.ID), zap.String("address", b.Address),
 				zap.String("failure_domain", b.FailureDomain), zap.Bool("draining", b.Draining), zap.Bool("gone", b.Gone),
 				zap.String("heard_from", from))
 		}
 	}
-	for _, info := range u.GetGateways() {
-		m.recordGateway(info, now)
-	}
+	m.mergeGateways(from, u, now)
 	m.mu.Unlock()
 	m.addStates(ctx, u.GetStateAddresses())
 }
 
-// recordGateway records that a gateway is alive. The caller holds the mutex.
-func (m *members) recordGateway(info *wirepb.GatewayInfo, now time.Duration) {
+// mergeGateways records the gateways that an update lists as subscribed to its sender,
+// or as departed from it. The caller holds the mutex.
+func (m *members) mergeGateways(from string, u *wirepb.FleetUpdate, now time.Duration) {
+	if u.GetComplete() {
+		m.unlistAllLocked(from, now)
+	}
+	var discovered []string
+	for _, info := range u.GetGateways() {
+		entry, isNew := m.recordGateway(info, now)
+		if entry == nil {
+			continue
+		}
+		if isNew {
+			discovered = append(discovered, info.GetId())
+		}
+		// A sender without positions doesn't tell of departures.
+		if u.GetPosition() > 0 && !slices.Contains(entry.listedBy, from) {
+			entry.listedBy = append(entry.listedBy, from)
+		}
+	}
+	for _, id := range u.GetDepartedGateways() {
+		if entry := m.gateways[id]; entry != nil {
+			entry.unlist(from, now)
+		}
+	}
+	if len(discovered) > 0 {
+		m.g.log.Info("gateways discovered", zap.Int("count", len(discovered)),
+			zap.Strings("first", discovered[:min(maxLoggedNames, len(discovered))]), zap.Int("gateways", len(m.gateways)+1))
+	}
+}
+
+// unlistAll records that a state process lists no gateways any more, because the
+// subscription to it has ended.
+func (m *members) unlistAll(state string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unlistAllLocked(state, bootclock.Now())
+}
+
+// unlistAllLocked is unlistAll. The caller holds the mutex.
+func (m *members) unlistAllLocked(state string, now time.Duration) {
+	for _, entry := range m.gateways {
+		entry.unlist(state, now)
+	}
+}
+
+// recordGateway records that a gateway is alive. It returns nil for this gateway
+// itself, and whether this start of the gateway was not known. The caller holds the
+// mutex.
+func (m *members) recordGateway(info *wirepb.GatewayInfo, now time.Duration) (entry *gatewayEntry, isNew bool) {
 	if info.GetId() == "" || info.GetId() == m.g.settings.ID {
-		return
+		return nil, false
 	}
-	entry := m.gateways[info.GetId()]
-	if entry == nil || entry.info.GetIncarnation() != info.GetIncarnation() {
-		m.g.log.Info("gateway discovered", zap.String("gateway", info.GetId()), zap.String("address", info.GetAddress()))
+	entry = m.gateways[info.GetId()]
+	if entry == nil {
 		entry = &gatewayEntry{}
 		m.gateways[info.GetId()] = entry
 	}
+	isNew = entry.info.GetIncarnation() != info.GetIncarnation()
+	if isNew || entry.info.GetAddress() != info.GetAddress() {
+		address, err := netip.ParseAddrPort(info.GetAddress())
+		if err != nil {
+			m.g.log.Warn("gateway has an invalid address", zap.String("gateway", info.GetId()), zap.String("address", info.GetAddress()))
+		}
+		entry.address = address
+	}
 	entry.info, entry.seenAt = info, max(entry.seenAt, now)
+	return entry, isNew
 }
 
 // recordContact records a datagram from a gateway and returns the gateway's
@@ -224,7 +239,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, entry := range m.gateways {
-		if now-entry.seenAt > gatewayRetention {
+		if len(entry.listedBy) == 0 && now-entry.seenAt > gatewayRetention {
 			delete(m.gateways, id)
 			m.g.log.Info("gateway expired", zap.String("gateway", id), zap.Duration("silent", now-entry.seenAt))
 		}
@@ -246,7 +261,7 @@
 func (m *members) hasStateMajority(now time.Duration) bool {
 	connected := 0
 	for _, entry := range m.states {
-		if entry.lastReceivedAt > 0 && now-entry.lastReceivedAt < stateSilence {
+		if entry.lastReceivedAt > 0 && now-entry.lastReceivedAt < fleetclient.Silence {
 			connected++
 		}
 	}
@@ -281,15 +296,48 @@
 	return out
 }
 
-// addresses returns the datagram addresses of the other gateways, sorted.
-func (m *members) addresses() []string {
+// minRelayDomain is the number of relaying gateways in another failure domain from
+// which on one of them relays the load shares to the others: fewer copies cross the
+// boundary of the failure domain, at the cost of one hop.
+const minRelayDomain = 4
+
+// shareTargets returns the datagram addresses of the gateways that a load share is sent
+// to directly, and of those that relay it. For each load share another gateway of a
+// failure domain relays, so that one that is lost costs a few of them only.
+func (m *members) shareTargets() (direct, relays []netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]string, 0, len(m.gateways))
+	remote := map[string][]netip.AddrPort{}
 	for _, entry := range m.gateways {
-		out = append(out, entry.info.GetAddress())
+		switch domain := entry.info.GetFailureDomain(); {
+		case !entry.address.IsValid():
+		case domain == m.g.settings.FailureDomain || !entry.info.GetRelays():
+			direct = append(direct, entry.address)
+		default:
+			remote[domain] = append(remote[domain], entry.address)
+		}
+	}
+	for _, addresses := range remote {
+		if len(addresses) < minRelayDomain {
+			direct = append(direct, addresses...)
+			continue
+		}
+		relays = append(relays, addresses[rand.IntN(len(addresses))])
+	}
+	return direct, relays
+}
+
+// domainAddresses returns the datagram addresses of the other gateways in the failure
+// domain of this one.
+func (m *members) domainAddresses() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []netip.AddrPort
+	for _, entry := range m.gateways {
+		if entry.info.GetFailureDomain() == m.g.settings.FailureDomain && entry.address.IsValid() {
+			out = append(out, entry.address)
+		}
 	}
-	slices.Sort(out)
 	return out
 }
 
--- a/internal/gateway/reachability_test.go
+++ b/internal/gateway/reachability_test.go
@@ -60,7 +60,7 @@
 	s.g.members.recordGateway(&wirepb.GatewayInfo{Id: "gateway-2", FailureDomain: "b", Address: "127.0.0.1:3"}, bootclock.Now())
 	s.g.members.mu.Unlock()
 	now := bootclock.Now()
-	s.g.workTable.replaceShare("gateway-2", &share{at: now - shareLifetime - time.Second, jobs: []job{{
+	s.g.workTable.replaceShare("gateway-2", &share{at: now - minShareLifetime - time.Second, jobs: []job{{
 		backend: local.Key(), work: enginemodel.Work{Request: 7, PromptTokens: 100, PartTokens: 100, Decoding: true},
 	}}}, now)
 	s.g.recordConnectFailure(remote, now)
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -18,8 +18,14 @@
 )
 
 const (
-	// shareInterval is the time between two load shares when nothing changes.
-	shareInterval = 500 * time.Millisecond
+	// minShareInterval is the time between two load shares when nothing changes, and
+	// shareIntervalPerGateway its lower limit for each gateway: the load shares that
+	// a gateway receives while nothing changes then don't grow with the number of
+	// gateways.
+	minShareInterval        = 500 * time.Millisecond
+	shareIntervalPerGateway = 10 * time.Millisecond
+	// shareJitter is the share of the interval by which it varies.
+	shareJitter = 0.4
 	// batchDelay collects changes that come together into one datagram.
 	batchDelay = 4 * time.Millisecond
 	// progressDelay is how long first events and ends are held back, to be
@@ -32,6 +38,9 @@
 
 var (
 	sharesSent     = metrics.GetOrCreateCounter(`bilberry_gateway_shares_sent_total`)
+	sharesUnsent   = metrics.GetOrCreateCounter(`bilberry_gateway_shares_unsent_total`)
+	shareBytesSent = metrics.GetOrCreateCounter(`bilberry_gateway_share_bytes_sent_total`)
+	sharesRelayed  = metrics.GetOrCreateCounter(`bilberry_gateway_shares_relayed_total`)
 	sharesReceived = metrics.GetOrCreateCounter(`bilberry_gateway_shares_received_total`)
 	sharesInvalid  = metrics.GetOrCreateCounter(`bilberry_gateway_shares_bad_total`)
 )
@@ -40,7 +49,7 @@
 // change and at intervals, until ctx ends. Each datagram carries all running
 // work, up to maxSharedJobs jobs, so a lost one is made up for by the next.
 func (g *Gateway) sendShares(ctx context.Context) {
-	due := time.NewTimer(shareInterval)
+	due := time.NewTimer(minShareInterval)
 	defer due.Stop()
 	isProgressPending := false // due is set to progressDelay
 	for sequence := uint64(1); ; {
@@ -62,29 +71,53 @@
 		g.sendShare(sequence)
 		sequence++
 		isProgressPending = false
-		due.Reset(shareInterval)
+		// The gateways often start together; without jitter all of them would send at
+		// the same moment and be silent in between.
+		due.Reset(time.Duration((1 - shareJitter*g.random()) * float64(g.shareInterval())))
 	}
 }
 
-// sendShare sends one datagram to each other gateway.
+// shareInterval returns the time between two load shares when nothing changes.
+func (g *Gateway) shareInterval() time.Duration {
+	return max(minShareInterval, time.Duration(g.members.count())*shareIntervalPerGateway)
+}
+
+// sendShare sends the load share of this gateway to the other gateways.
 func (g *Gateway) sendShare(sequence uint64) {
-	data, err := proto.Marshal(g.share(sequence))
+	s := g.share(sequence)
+	direct, relays := g.members.shareTargets()
+	g.sendShareTo(s, direct)
+	if len(relays) > 0 {
+		s.Relay = true
+		g.sendShareTo(s, relays)
+	}
+}
+
+// sendShareTo sends one datagram to each of the addresses. Those that can't be sent are
+// counted; the next load share makes up for them.
+func (g *Gateway) sendShareTo(s *wirepb.LoadShare, addresses []netip.AddrPort) {
+	data, err := proto.Marshal(s)
 	if err != nil {
 		g.log.Error("encode load share failed", observe.Error(err))
 		return
 	}
-	for _, address := range g.members.addresses() {
-		to, err := netip.ParseAddrPort(address)
-		if err != nil {
-			sharesInvalid.Inc()
+	for _, to := range addresses {
+		if _, err := g.udp.WriteToUDPAddrPort(data, to); err != nil {
+			sharesUnsent.Inc()
 			continue
 		}
-		if _, err := g.udp.WriteToUDPAddrPort(data, to); err == nil {
-			sharesSent.Inc()
-		}
+		sharesSent.Inc()
+		shareBytesSent.Add(len(data))
 	}
 }
 
+// relayShare sends a load share on to the other gateways of the failure domain.
+func (g *Gateway) relayShare(s *wirepb.LoadShare) {
+	s.Relay = false
+	sharesRelayed.Inc()
+	g.sendShareTo(s, g.members.domainAddresses())
+}
+
 // share returns the load share of this gateway, with at most maxSharedJobs jobs.
 func (g *Gateway) share(sequence uint64) *wirepb.LoadShare {
 	b := g.workTable
@@ -93,6 +126,7 @@
 	now := bootclock.Now()
 	s := &wirepb.LoadShare{
 		Gateway: g.settings.ID, Incarnation: g.incarnation, Sequence: sequence, Verdicts: g.health.verdicts(now),
+		NextWithinMs: uint32(g.shareInterval().Milliseconds()),
 	}
 	for j := range b.local {
 		if len(s.Running) == maxSharedJobs {
@@ -133,6 +167,9 @@
 			continue
 		}
 		sharesReceived.Inc()
+		if s.GetRelay() {
+			g.relayShare(s)
+		}
 		g.mergeShare(s)
 	}
 }
@@ -156,7 +193,7 @@
 	if old != nil && old.incarnation == s.GetIncarnation() && old.sequence >= s.GetSequence() {
 		return
 	}
-	received := &share{incarnation: s.GetIncarnation(), sequence: s.GetSequence(), at: now}
+	received := &share{incarnation: s.GetIncarnation(), sequence: s.GetSequence(), at: now, lifetime: shareLifetime(milliseconds(int64(s.GetNextWithinMs())))}
 	for _, r := range s.GetRunning() {
 		sent := now - milliseconds(int64(r.GetAgeMs()))
 		w := enginemodel.Work{
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/enginemodel"
 	"bilberryhub/internal/wirepb"
@@ -63,3 +65,85 @@
 		t.Errorf("%d datagrams for 20 changes within %s, expected one or two", n, progressDelay)
 	}
 }
+
+// With hundreds of gateways, a copy of each load share to each gateway of the other
+// failure domains is most of what crosses their boundaries. One copy for each failure
+// domain is enough, if its receiver sends it on to the others there, but not back and
+// not to further failure domains.
+func TestSharesAreRelayedWithinAFailureDomain(t *testing.T) {
+	s := newSetup(t) // in failure domain a
+	var err error
+	if s.g.udp, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	defer s.g.udp.Close()
+	sockets := map[string]net.PacketConn{}
+	addGateway := func(id, domain string, relays bool) {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = socket.Close() })
+		sockets[id] = socket
+		s.g.members.mu.Lock()
+		defer s.g.members.mu.Unlock()
+		s.g.members.recordGateway(&wirepb.GatewayInfo{
+			Id: id, FailureDomain: domain, Address: socket.LocalAddr().String(), Relays: relays, Incarnation: 1,
+		}, bootclock.Now())
+	}
+	for _, id := range []string{"1", "2", "3", "4", "5"} {
+		addGateway("a"+id, "a", true)
+		addGateway("b"+id, "b", true)
+		addGateway("old"+id, "c", false)
+	}
+	addGateway("d1", "d", true)
+	received := func() map[string][]*wirepb.LoadShare {
+		out := map[string][]*wirepb.LoadShare{}
+		buf := make([]byte, 4096)
+		for id, socket := range sockets {
+			for {
+				_ = socket.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+				n, _, err := socket.ReadFrom(buf)
+				if err != nil {
+					break
+				}
+				share := &wirepb.LoadShare{}
+				if err := proto.Unmarshal(buf[:n], share); err != nil {
+					t.Fatal(err)
+				}
+				out[id[:1]] = append(out[id[:1]], share)
+			}
+		}
+		return out
+	}
+	s.g.sendShare(1)
+	got := received()
+	for domain, want := range map[string]int{"a": 5, "b": 1, "o": 5, "d": 1} {
+		if len(got[domain]) != want {
+			t.Errorf("%d copies in failure domain %s, want %d", len(got[domain]), domain, want)
+		}
+		for _, share := range got[domain] {
+			if share.GetRelay() != (domain == "b") {
+				t.Errorf("copy in failure domain %s has relay %t", domain, share.GetRelay())
+			}
+		}
+	}
+	go s.g.receiveShares()
+	data, err := proto.Marshal(&wirepb.LoadShare{Gateway: "b1", Incarnation: 1, Sequence: 1, Relay: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := sockets["b1"].WriteTo(data, s.g.udp.LocalAddr()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	got = received()
+	if len(got["a"]) != 5 || len(got["b"])+len(got["o"])+len(got["d"]) != 0 {
+		t.Errorf("relayed to %d, %d, %d and %d gateways", len(got["a"]), len(got["b"]), len(got["o"]), len(got["d"]))
+	}
+	for _, share := range got["a"] {
+		if share.GetRelay() || share.GetGateway() != "b1" {
+			t.Errorf("relayed as %v", share)
+		}
+	}
+}
--- a/internal/gateway/worktable.go
+++ b/internal/gateway/worktable.go
@@ -41,15 +41,19 @@
 type share struct {
 	incarnation, sequence uint64
 	at                    time.Duration
-	jobs                  []job
+	// lifetime is how long the load share is used without a newer one.
+	lifetime time.Duration
+	jobs     []job
 	// unreachable is set while the sender's failure domain is unreachable.
 	unreachable bool
 }
 
 const (
-	// shareLifetime is how long a load share is used without a newer one: four
-	// intervals.
-	shareLifetime = 4 * shareInterval
+	// minShareLifetime is the shortest time for which a load share is used without a
+	// newer one, and shareLifetimeIntervals the same time in intervals of its sender:
+	// two datagrams in a row may be lost.
+	minShareLifetime       = 4 * minShareInterval
+	shareLifetimeIntervals = 2.5
 	// unreachableShareLifetime is how long the load share of an unreachable
 	// gateway is used, about the time of a response: engines on this side of
 	// the partition don't notice it and continue that gateway's requests.
@@ -61,7 +65,13 @@
 	if s.unreachable {
 		return now-s.at > unreachableShareLifetime
 	}
-	return now-s.at > shareLifetime
+	return now-s.at > max(minShareLifetime, s.lifetime)
+}
+
+// shareLifetime returns how long a load share is used without a newer one, if its
+// sender sends one at least at each interval.
+func shareLifetime(interval time.Duration) time.Duration {
+	return max(minShareLifetime, time.Duration(shareLifetimeIntervals*float64(interval)))
 }
 
 func newWorkTable() *workTable {
--- a/internal/stateserver/server.go
+++ b/internal/stateserver/server.go
@@ -174,7 +174,9 @@
 	if err := s.admin.Serve(s.settings.AdminListen); err != nil {
 		return errors.Trace(err)
 	}
-	s.server, err = wire.Serve(s.settings.Listen, s.wireOpts, s.handle, s.log)
+	serverOpts := s.wireOpts
+	serverOpts.IsPeer = s.peers.isPeer
+	s.server, err = wire.Serve(s.settings.Listen, serverOpts, s.handle, s.log)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/stateserver/transport.go
+++ b/internal/stateserver/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -185,6 +186,14 @@
 	return slices.Compact(all)
 }
 
+// isPeer reports whether an IP address is that of a member or a configured replica.
+func (t *transport) isPeer(ip string) bool {
+	return slices.ContainsFunc(t.knownAddresses(), func(a string) bool {
+		host, _, err := net.SplitHostPort(a)
+		return err == nil && host == ip
+	})
+}
+
 // wait waits until all senders have ended.
 func (t *transport) wait() { t.wg.Wait() }
 
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -138,7 +138,7 @@
 
 // startDial dials in the background. The caller holds the mutex.
 func (c *Client) startDial() *dialAttempt {
-	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), clientHandshakeTimeout)
 	a := &dialAttempt{cancel: cancel, done: make(chan struct{})}
 	c.dialAttempt = a
 	go func() {
@@ -173,7 +173,7 @@
 	if c.opts.TLS != nil {
 		conn = tls.Client(conn, c.opts.TLS)
 	}
-	session, err := yamux.Client(conn, yamuxConfig())
+	session, err := yamux.Client(conn, yamuxConfig(c.opts))
 	if err != nil {
 		_ = conn.Close()
 		return nil, Peer{}, errors.Annotatef(err, "start session with %s", c.address)
@@ -192,7 +192,7 @@
 	if err != nil {
 		return Peer{}, errors.Annotatef(err, "open handshake stream to %s", c.address)
 	}
-	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	_ = conn.SetDeadline(time.Now().Add(clientHandshakeTimeout))
 	s := newStream(ctx, conn, Peer{Identity: Identity{ID: c.address}})
 	defer s.Close()
 	if err := s.Send(c.opts.hello()); err != nil {
--- a/internal/wire/packed.go
+++ b/internal/wire/packed.go
@@ -1,11 +1,13 @@
 package wire
 
 import (
+	"bytes"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
 	"bilberryhub/internal/wirepb"
@@ -40,13 +42,29 @@
 		zstd.WithDecoderLowmem(true))
 })
 
-// Prepared is an envelope that may be sent to several peers and is compressed at
-// most once for all of them. It is safe for concurrent use; the envelope must not
-// change.
+// Prepared is an envelope that may be sent to several peers and is encoded and
+// compressed at most once for all of them. It is safe for concurrent use; the envelope
+// must not change.
 type Prepared struct {
-	env    *wirepb.Envelope
-	once   sync.Once
-	packed *wirepb.Envelope
+	env           *wirepb.Envelope
+	plain, packed encodedOnce
+}
+
+// encodedOnce is a form of an envelope as it is written to a stream.
+type encodedOnce struct {
+	once sync.Once
+	data []byte
+	err  error
+}
+
+// get returns the encoded form, which form returns as an envelope at the first call.
+func (e *encodedOnce) get(form func() *wirepb.Envelope) ([]byte, error) {
+	e.once.Do(func() {
+		var b bytes.Buffer
+		_, e.err = protodelim.MarshalTo(&b, form())
+		e.data = b.Bytes()
+	})
+	return e.data, e.err
 }
 
 // Prepare returns env for sending with Stream.SendPrepared.
@@ -55,14 +73,13 @@
 // Envelope returns the envelope, which must not be changed.
 func (p *Prepared) Envelope() *wirepb.Envelope { return p.env }
 
-// forVersion returns the form of the envelope that is sent to peers with a
-// protocol version.
-func (p *Prepared) forVersion(version uint32) *wirepb.Envelope {
-	if version < minPackedVersion || proto.Size(p.env) < minPackedBytes {
-		return p.env
+// encoded returns the envelope as it is sent to peers with a protocol version.
+func (p *Prepared) encoded(version uint32) ([]byte, error) {
+	plain, err := p.plain.get(p.Envelope)
+	if err != nil || version < minPackedVersion || len(plain) < minPackedBytes {
+		return plain, err
 	}
-	p.once.Do(func() { p.packed = pack(p.env) })
-	return p.packed
+	return p.packed.get(func() *wirepb.Envelope { return pack(p.env) })
 }
 
 // pack returns the compressed form of an envelope, or the envelope itself if it
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -26,6 +28,7 @@
 	opts     Options
 	handler  Handler
 	log      *zap.Logger
+	gate     gate
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -41,7 +44,7 @@
 		listener = tls.NewListener(listener, opts.TLS)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{listener: listener, opts: opts, handler: handler, log: log, ctx: ctx, cancel: cancel}
+	s := &Server{listener: listener, opts: opts, handler: handler, log: log, ctx: ctx, cancel: cancel, gate: gate{started: time.Now()}}
 	s.wg.Go(s.accept)
 	return s, nil
 }
@@ -70,13 +73,38 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		s.wg.Go(func() { s.serveConn(conn) })
+		isPeer := s.opts.IsPeer != nil && s.opts.IsPeer(remoteIP(conn))
+		if !isPeer && !s.gate.begin() {
+			s.gate.refuse(conn, s.log)
+			continue
+		}
+		began := time.Now()
+		s.wg.Go(func() {
+			s.serveConn(conn, sync.OnceFunc(func() {
+				if !isPeer {
+					s.gate.end(began)
+				}
+			}))
+		})
+	}
+}
+
+// remoteIP returns the IP address of the remote end, without port.
+func remoteIP(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return ""
 	}
+	return host
 }
 
-// serveConn runs the session of one connection until it ends.
-func (s *Server) serveConn(conn net.Conn) {
-	session, err := yamux.Server(conn, yamuxConfig())
+// serveConn runs the session of one connection until it ends. It calls handshakeEnded
+// when the handshake has ended.
+func (s *Server) serveConn(conn net.Conn, handshakeEnded func()) {
+	defer handshakeEnded()
+	config := yamuxConfig(s.opts)
+	config.EnableKeepAlive = false
+	session, err := yamux.Server(conn, config)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -89,8 +117,10 @@
 		s.log.Warn("handshake failed", zap.String("peer", conn.RemoteAddr().String()), observe.Error(err))
 		return
 	}
+	handshakeEnded()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
+	go keepAlive(ctx, session, peer.Kind)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
@@ -103,6 +133,29 @@
 	}
 }
 
+// keepAlive closes a session whose peer doesn't answer pings, until ctx ends. Sessions
+// of other state processes are pinged more often, because consensus waits for the end
+// of a silent one. Gateways and entry processes notice silence on their own.
+func keepAlive(ctx context.Context, session *yamux.Session, kind Kind) {
+	interval := clientKeepAliveInterval
+	if kind == KindState {
+		interval = keepAliveInterval
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, err := session.Ping(); err != nil {
+			_ = session.Close()
+			return
+		}
+	}
+}
+
 // handshake reads the Hello of the client on the first stream and responds to it.
 func (s *Server) handshake(session *yamux.Session, address string) (Peer, error) {
 	timer := time.AfterFunc(handshakeTimeout, func() { _ = session.Close() })
@@ -144,7 +197,23 @@
 	if err != nil {
 		return
 	}
-	if err := s.handler(ctx, st, req); err != nil {
+	if err := s.handle(ctx, st, req); err != nil {
 		_ = st.Send(FailureEnvelope("serve call", "error", err))
 	}
 }
+
+// handle calls the handler. A panic ends this call only: one request that the handler
+// can't cope with must not end all the others.
+func (s *Server) handle(ctx context.Context, st *Stream, req *wirepb.Envelope) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			callPanics.Inc()
+			s.log.Error("call panicked", zap.String("peer", st.Peer().ID), zap.String("call", fmt.Sprintf("%T", req.GetBody())),
+				zap.Any("panic", p), zap.Stack("stack"))
+			err = errors.Errorf("call panicked: %v", p)
+		}
+	}()
+	return s.handler(ctx, st, req)
+}
+
+var callPanics = metrics.GetOrCreateCounter(`bilberry_wire_call_panics_total`)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,14 +37,20 @@
 	// maxMessageBytes bounds one envelope. The largest one is a configuration
 	// with a manifest of 2,200 client accounts, which takes less than 4 MiB.
 	maxMessageBytes = 64 << 20
-	// handshakeTimeout bounds dialling and the handshake.
-	handshakeTimeout = 2 * time.Second
+	// handshakeTimeout bounds the handshake at the server, and clientHandshakeTimeout
+	// dialling and the handshake at the client. A client that gave up sooner than the
+	// server would make it work in vain.
+	handshakeTimeout       = 2 * time.Second
+	clientHandshakeTimeout = 3 * time.Second
 	// writeTimeout bounds a write to a connection whose peer does not read.
 	writeTimeout = 3 * time.Second
 	// keepAliveInterval is the time between two pings of a session. An open
 	// connection may stop carrying data while new ones work, which only a ping
 	// detects.
 	keepAliveInterval = time.Second
+	// clientKeepAliveInterval replaces keepAliveInterval in sessions whose client
+	// notices silence by itself: a control process has hundreds of them.
+	clientKeepAliveInterval = 5 * time.Second
 )
 
 // Kind is the kind of a process.
@@ -84,6 +90,11 @@
 	// Dial replaces the DialContext method of Dialer; tests use it to inject
 	// faults.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// KeepAlive is the time between two pings of a client; keepAliveInterval if 0.
+	KeepAlive time.Duration
+	// IsPeer, if set, reports whether the connections of a server from an IP address
+	// are admitted without limit.
+	IsPeer func(ip string) bool
 	// LowestVersion and HighestVersion override the range of protocol versions;
 	// zero means the constant of the same name.
 	LowestVersion, HighestVersion uint32
@@ -172,7 +183,10 @@
 
 // SendPrepared writes a prepared envelope in the form that the peer can read.
 func (s *Stream) SendPrepared(p *Prepared) error {
-	_, err := protodelim.MarshalTo(s.conn, p.forVersion(s.peer.Version))
+	data, err := p.encoded(s.peer.Version)
+	if err == nil {
+		_, err = s.conn.Write(data)
+	}
 	return errors.Annotatef(err, "send to %s", s.peer.ID)
 }
 
@@ -198,11 +212,14 @@
 	return nil
 }
 
-func yamuxConfig() *yamux.Config {
+func yamuxConfig(o Options) *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.LogOutput = io.Discard
 	cfg.ConnectionWriteTimeout = writeTimeout
 	cfg.KeepAliveInterval = keepAliveInterval
+	if o.KeepAlive > 0 {
+		cfg.KeepAliveInterval = o.KeepAlive
+	}
 	cfg.StreamOpenTimeout = writeTimeout
 	cfg.StreamCloseTimeout = writeTimeout
 	return cfg
