Keep load shares within the failure domain from 128 gateways on

From 128 gateways on, load shares go to the gateways of the own failure domain and of those that the work uses. Two gateways of each failure domain send a summary of the work at its backend servers each second to the others; one of the receivers relays it. Load shares without new work are batched by two gateways of the failure domain for 150 ms. Candidates are the engines of the own failure domain and a random sample of each other one. Announcements without a change are sent as id, sequence and age; fleet updates come each 0.8 s, the configuration's heartbeat only where no probe was answered. Failure domains are checked for silence when they are due.

A planned stop closes the listener itself: http.Server.Shutdown closes a connection as idle although a request has just been read, and drops requests that it reads afterwards. TestPlannedStopAnswersARequestThatHasJustArrived failed with it each time.

--- a/internal/configsync/serve.go
+++ b/internal/configsync/serve.go
@@ -8,8 +8,12 @@
 	"bilberryhub/internal/wirepb"
 )
 
-// heartbeatInterval is the longest time between two heartbeats.
-const heartbeatInterval = 500 * time.Millisecond
+// heartbeatInterval is the longest time between two heartbeats, but for heartbeatSlack:
+// a probe that arrives a little late takes the place of the heartbeat.
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	heartbeatSlack    = 100 * time.Millisecond
+)
 
 // resendAfter is how long a subscriber may take to receive and confirm a
 // configuration before it is sent again.
@@ -60,8 +64,9 @@
 	go receiveProbes(ctx, cancel, st, probes)
 	sub := &subscriber{stream: st, source: source}
 	sub.receive(req)
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
+	// Probes are answered and come about as often as heartbeats are due.
+	due := time.NewTimer(heartbeatInterval)
+	defer due.Stop()
 	for {
 		// The channel must be obtained before the configuration is read, or a change
 		// in between would be missed.
@@ -71,13 +76,14 @@
 			// subscriber.
 			return nil
 		}
+		due.Reset(heartbeatInterval + heartbeatSlack)
 		select {
 		case <-ctx.Done():
 			return nil
 		case probe := <-probes:
 			sub.receive(probe)
 		case <-changed:
-		case <-ticker.C:
+		case <-due.C:
 		}
 	}
 }
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -74,4 +74,7 @@
 				zap.Bool("draining", b.Draining), zap.Bool("gone", b.Gone), zap.String("heard_from", from))
 		}
 	}
+	for _, r := range u.GetRefreshed() {
+		s.feed.RefreshPeer(r.GetId(), r.GetSequence(), now-time.Duration(r.GetAgeMs())*time.Millisecond)
+	}
 }
--- a/internal/control/subscribe.go
+++ b/internal/control/subscribe.go
@@ -14,7 +14,7 @@
 
 // heartbeatInterval is the longest time between two updates to a gateway. Gateways
 // consider a state process silent after three missed heartbeats.
-const heartbeatInterval = 500 * time.Millisecond
+const heartbeatInterval = time.Second
 
 var (
 	updatesSent         = metrics.GetOrCreateCounter(`bilberry_control_fleet_updates_sent_total`)
@@ -41,12 +41,14 @@
 	s.addSubscriber(sub)
 	defer s.removeSubscriber(sub)
 	go func() {
-		// Subscribers send nothing more, but older gateways send probes.
 		defer cancel()
 		for {
 			if _, err := st.Recv(); err != nil {
 				return
 			}
+			// Subscribers send nothing more, but older gateways, which ignore
+			// refreshes, send probes.
+			s.resetPosition(sub)
 		}
 	}()
 	ticker := time.NewTicker(heartbeatInterval)
@@ -98,6 +100,9 @@
 	sub.position = position
 }
 
+// resetPosition makes the next update of a subscriber a complete one.
+func (s *Service) resetPosition(sub *subscriber) { s.recordSent(sub, 0) }
+
 // waitSent waits until the changes made so far were sent to all gateways that are
 // subscribed, at most deliveryTimeout. It is called before the end of a backend server
 // is acknowledged: this process may fail right after.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -120,6 +120,14 @@
 	return append(changed, server)
 }
 
+// Refresh records an announcement that differs from the one in the table in its sequence
+// only, received at seenAt. An older one is ignored.
+func (t *Table) Refresh(id string, sequence uint64, seenAt time.Duration) {
+	if b := t.byID[id]; b != nil && !b.Gone && sequence >= b.Sequence {
+		b.SeenAt = max(b.SeenAt, seenAt)
+	}
+}
+
 // Leave marks a backend server as gone and returns it if that changes the table.
 // BornMs is the start of the lifetime that has ended; 0 means the lifetime in the
 // table.
--- a/internal/fleetclient/fleetclient.go
+++ b/internal/fleetclient/fleetclient.go
@@ -18,7 +18,7 @@
 const (
 	// Silence is the time without an update after which a control process counts as
 	// silent and its session is closed: three intervals of the feed.
-	Silence = 1500 * time.Millisecond
+	Silence = 3 * time.Second
 	// subscribeTimeout bounds the time until the first update. It is longer than a
 	// control process may take for the handshake, so that none works for subscribers
 	// that have given up.
--- a/internal/fleetfeed/fleetfeed.go
+++ b/internal/fleetfeed/fleetfeed.go
@@ -30,7 +30,7 @@
 	UrgentInterval  = 20 * time.Millisecond
 	// RegularInterval is the time after which an update is made even if nothing has
 	// changed. Subscribers treat the control process as silent after several of them.
-	RegularInterval = 400 * time.Millisecond
+	RegularInterval = 800 * time.Millisecond
 	// completeInterval is how long a complete update is used for subscribers that join.
 	completeInterval = 250 * time.Millisecond
 	// maxKeptUpdates is the number of updates that are kept for subscribers that are
@@ -53,7 +53,8 @@
 
 	// changed holds the ids of backend servers that wait for the next update, and
 	// refreshed those that have only been announced again.
-	changed, refreshed map[string]struct{}
+	// peerChanged holds those that have changed at another control process.
+	changed, peerChanged, refreshed map[string]struct{}
 	// isUrgent is set if some of changed are leaving.
 	isUrgent bool
 	// joined and departed hold the ids of gateways that wait for the next update.
@@ -80,7 +81,7 @@
 func New(now time.Duration) *Feed {
 	return &Feed{
 		table: fleet.NewTable(), gateways: map[string]*gateway{}, builtAt: now,
-		changed: map[string]struct{}{}, refreshed: map[string]struct{}{},
+		changed: map[string]struct{}{}, peerChanged: map[string]struct{}{}, refreshed: map[string]struct{}{},
 		joined: map[string]struct{}{}, departed: map[string]struct{}{},
 	}
 }
@@ -139,11 +140,17 @@
 func (f *Feed) MergePeer(b fleet.BackendServer) []*fleet.BackendServer {
 	changed := f.table.Merge(b)
 	for _, c := range changed {
-		f.refreshed[c.ID] = struct{}{}
+		f.peerChanged[c.ID] = struct{}{}
 	}
 	return changed
 }
 
+// RefreshPeer merges a refresh that another control process has sent, received at
+// seenAt.
+func (f *Feed) RefreshPeer(id string, sequence uint64, seenAt time.Duration) {
+	f.table.Refresh(id, sequence, seenAt)
+}
+
 // Leave records that a backend server has left and returns the backend servers that
 // this has changed. BornMs is the start of its lifetime in Unix milliseconds, or 0 if
 // it is not known.
@@ -199,16 +206,25 @@
 	f.builtAt = now
 	f.last++
 	u := &wirepb.FleetUpdate{Position: f.last, StateAddresses: f.addresses, DepartedGateways: slices.Sorted(maps.Keys(f.departed))}
-	maps.Copy(f.refreshed, f.changed)
-	for id := range f.refreshed {
+	maps.Copy(f.changed, f.peerChanged)
+	for id := range f.changed {
+		delete(f.refreshed, id)
 		if b := f.table.Get(id); b != nil {
 			u.BackendServers = append(u.BackendServers, Encode(b, now))
 		}
 	}
+	for id := range f.refreshed {
+		if b := f.table.Get(id); b != nil {
+			u.Refreshed = append(u.Refreshed, &wirepb.Refresh{
+				Id: id, Sequence: b.Sequence, AgeMs: uint32(max(0, now-b.SeenAt).Milliseconds()),
+			})
+		}
+	}
 	for id := range f.joined {
 		u.Gateways = append(u.Gateways, f.gateways[id].info)
 	}
 	clear(f.changed)
+	clear(f.peerChanged)
 	clear(f.refreshed)
 	clear(f.joined)
 	clear(f.departed)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -111,6 +111,7 @@
 // others.
 func (g *Gateway) choose(r *request, service *manifest.RoutedService, excluded []string) (*pick, error) {
 	servers, gateways := g.members.backends()
+	isLocalDetail := gateways >= localDetailGateways
 	v := g.sync.Current()
 	g.workTable.mu.Lock()
 	defer g.workTable.mu.Unlock()
@@ -133,6 +134,9 @@
 		if c.condition.dead {
 			continue
 		}
+		if isLocalDetail && b.FailureDomain != g.settings.FailureDomain {
+			c.works = g.workTable.remoteWorks(b.FailureDomain, key, c.works, now)
+		}
 		if g.reachability.unreachable(b.FailureDomain) {
 			unreachable = append(unreachable, c)
 			continue
@@ -145,6 +149,9 @@
 	if len(list) == 0 {
 		return nil, errNoBackend
 	}
+	if isLocalDetail && service.Engine != nil {
+		list = sampleRemote(list, g.settings.FailureDomain)
+	}
 	var p *pick
 	var err error
 	if service.Engine != nil && r.caller.PromptTokens > 0 {
@@ -157,8 +164,10 @@
 	}
 	p.candidates = len(list)
 	g.workTable.add(p.job)
-	for _, h := range p.helperJobs {
+	g.workTable.usedDomains[p.backend.FailureDomain] = now
+	for i, h := range p.helperJobs {
 		g.workTable.add(h)
+		g.workTable.usedDomains[p.helpers[i].FailureDomain] = now
 	}
 	if now < p.backend.ColdUntil {
 		g.workTable.coldSends[p.job.backend] = append(g.workTable.coldSends[p.job.backend], now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,14 +80,18 @@
 	sync         configuration
 	members      *members
 	workTable    *workTable
+	batch        shareBatch
 	health       *health
 	budget       *budget
 	reachability *reachability
 	exchanges    *exchange.Pool
 	udp          *net.UDPConn
 	callers      *http.Server
-	ready        *http.Server
-	admin        *observe.Admin
+	// callerListener is the listener of callers, and callerConns its connections.
+	callerListener net.Listener
+	callerConns    *callerConns
+	ready          *http.Server
+	admin          *observe.Admin
 
 	// started is when the Gateway was created.
 	started time.Duration
@@ -103,7 +107,7 @@
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
 		settings: s, dialect: d, log: log, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
-		budget: newBudget(s), reachability: newReachability(), exchanges: exchange.NewPool(maxIdleConns),
+		callerConns: newCallerConns(), budget: newBudget(s), reachability: newReachability(), exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.members = newMembers(g)
@@ -156,6 +160,7 @@
 	g.members.addStates(g.ctx, g.settings.States)
 	g.wg.Go(func() { g.sync.Run(g.ctx) })
 	g.wg.Go(func() { g.sendShares(g.ctx) })
+	g.wg.Go(func() { g.sendSummaries(g.ctx) })
 	g.wg.Go(g.receiveShares)
 	g.wg.Go(func() { g.sweep(g.ctx) })
 	g.wg.Go(func() { g.probeLoop(g.ctx) })
@@ -170,6 +175,7 @@
 	}
 	g.callers = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes, ErrorLog: debugLog,
+		ConnState: g.callerConns.track,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.dialect.ReadyPath(), g.serveReady)
@@ -179,8 +185,12 @@
 		if err != nil {
 			return errors.Annotatef(err, "listen on %s", address)
 		}
+		if server == g.callers {
+			g.callerListener = l
+			l = callerListener{l, g.callerConns}
+		}
 		g.wg.Go(func() {
-			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !g.stopping.Load() {
 				g.log.Error("server ended", zap.String("address", address), observe.Error(err))
 			}
 		})
@@ -259,7 +269,8 @@
 	time.Sleep(min(balancerNoticeTime, grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, grace-(bootclock.Now()-began)))
 	defer cancel()
-	err := g.callers.Shutdown(ctx)
+	_ = g.callerListener.Close()
+	err := g.callerConns.drain(ctx, g.callers)
 	g.log.Info("stopped", zap.Int64("open_requests", g.open.Load()), observe.Error(err))
 	g.Close()
 	return nil
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -8,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
@@ -48,6 +50,8 @@
 	table    *fleet.Table
 	gateways map[string]*gatewayEntry
 	states   map[string]*stateEntry
+	// sorted caches the backend servers by id; it is nil after a change of the table.
+	sorted []*fleet.BackendServer
 	// version counts the changes of the table.
 	version uint64
 }
@@ -137,6 +141,9 @@
 	if entry := m.states[from]; entry != nil {
 		entry.lastReceivedAt = now
 	}
+	if len(u.GetBackendServers()) > 0 {
+		m.sorted = nil
+	}
 	for _, info := range u.GetBackendServers() {
 		for _, b := range m.table.Merge(fleetfeed.Decode(info, now)) {
 			m.version++
@@ -145,6 +152,9 @@
 				zap.String("heard_from", from))
 		}
 	}
+	for _, r := range u.GetRefreshed() {
+		m.table.Refresh(r.GetId(), r.GetSequence(), now-milliseconds(int64(r.GetAgeMs())))
+	}
 	m.mergeGateways(from, u, now)
 	m.mu.Unlock()
 	m.addStates(ctx, u.GetStateAddresses())
@@ -253,6 +263,7 @@
 	}
 	if m.hasStateMajority(now) {
 		m.table.Forget(now - backendRetention)
+		m.sorted = nil
 	}
 }
 
@@ -269,11 +280,14 @@
 }
 
 // backends returns the backend servers, sorted by id, and the number of live
-// gateways, including this one.
+// gateways, including this one. The caller must not change the slice.
 func (m *members) backends() (servers []*fleet.BackendServer, gateways int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.table.All(), len(m.gateways) + 1
+	if m.sorted == nil {
+		m.sorted = m.table.All()
+	}
+	return m.sorted, len(m.gateways) + 1
 }
 
 // count returns the number of live gateways, including this one.
@@ -303,15 +317,18 @@
 
 // shareTargets returns the datagram addresses of the gateways that a load share is sent
 // to directly, and of those that relay it. For each load share another gateway of a
-// failure domain relays, so that one that is lost costs a few of them only.
-func (m *members) shareTargets() (direct, relays []netip.AddrPort) {
+// failure domain relays, so that one that is lost costs a few of them only. used, if not
+// nil, limits the other failure domains.
+func (m *members) shareTargets(used map[string]bool) (direct, relays []netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	remote := map[string][]netip.AddrPort{}
 	for _, entry := range m.gateways {
-		switch domain := entry.info.GetFailureDomain(); {
-		case !entry.address.IsValid():
-		case domain == m.g.settings.FailureDomain || !entry.info.GetRelays():
+		domain := entry.info.GetFailureDomain()
+		isLocal := domain == m.g.settings.FailureDomain
+		switch {
+		case !entry.address.IsValid() || (used != nil && !isLocal && !used[domain]):
+		case isLocal || !entry.info.GetRelays():
 			direct = append(direct, entry.address)
 		default:
 			remote[domain] = append(remote[domain], entry.address)
@@ -327,6 +344,27 @@
 	return direct, relays
 }
 
+// batcher returns the address of a gateway of this failure domain that collects load
+// shares: one of the first in an order that all of them share, chosen at random. There
+// is none if this gateway would be the choice.
+func (m *members) batcher() (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	type ranked struct {
+		hash    uint64
+		address netip.AddrPort
+	}
+	first := []ranked{{hash: xxhash.Sum64String(m.g.settings.ID)}}
+	for id, entry := range m.gateways {
+		if entry.info.GetFailureDomain() == m.g.settings.FailureDomain && entry.info.GetRelays() && entry.address.IsValid() {
+			first = append(first, ranked{xxhash.Sum64String(id), entry.address})
+		}
+	}
+	slices.SortFunc(first, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	chosen := first[rand.IntN(min(summarySenders, len(first)))]
+	return chosen.address, chosen.address.IsValid()
+}
+
 // domainAddresses returns the datagram addresses of the other gateways in the failure
 // domain of this one.
 func (m *members) domainAddresses() []netip.AddrPort {
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -15,9 +15,14 @@
 	"bilberryhub/internal/reach"
 )
 
-// probeCheckInterval is the interval at which failure domains are checked for
-// silence.
-const probeCheckInterval = 100 * time.Millisecond
+const (
+	// probeCheckInterval is the shortest time between two checks of the failure
+	// domains for silence.
+	probeCheckInterval = 100 * time.Millisecond
+	// localDetailSuspectAfter replaces reach.SuspectAfter where other failure domains
+	// send summaries only: two senders in turn, one of which may be lost.
+	localDetailSuspectAfter = 2 * summaryInterval
+)
 
 var (
 	domainsUnreachable = metrics.GetOrCreateCounter(`bilberry_gateway_failure_domains_cut_total`)
@@ -126,7 +131,7 @@
 // probeLoop connects to backend servers of failure domains that are silent,
 // until ctx ends.
 func (g *Gateway) probeLoop(ctx context.Context) {
-	for sleep(ctx, probeCheckInterval) {
+	for sleep(ctx, g.untilNextProbe()) {
 		servers, _ := g.members.backends()
 		domains := map[string][]uint64{}
 		byKey := map[uint64]*fleet.BackendServer{}
@@ -144,6 +149,20 @@
 	}
 }
 
+// untilNextProbe returns the time until a failure domain may be due to be probed, at
+// least probeCheckInterval.
+func (g *Gateway) untilNextProbe() time.Duration {
+	isLocalDetail := g.members.isLocalDetail()
+	g.reachability.mu.Lock()
+	defer g.reachability.mu.Unlock()
+	g.reachability.table.SuspectAfter = 0
+	if isLocalDetail {
+		g.reachability.table.SuspectAfter = localDetailSuspectAfter
+	}
+	now := bootclock.Now()
+	return max(probeCheckInterval, g.reachability.table.NextProbe(now)-now)
+}
+
 // nextProbe returns the backend server of a failure domain that is due to be
 // probed, if any.
 func (g *Gateway) nextProbe(domain string, keys []uint64) (uint64, bool) {
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -166,6 +166,7 @@
 func (s *setup) announce(id, service, domain, address string) *fleet.BackendServer {
 	s.g.members.mu.Lock()
 	defer s.g.members.mu.Unlock()
+	s.g.members.sorted = nil
 	s.g.members.table.Merge(fleet.BackendServer{
 		ID: id, Service: service, Address: address, FailureDomain: domain, Slots: 4, BornMs: 1, Sequence: 1, SeenAt: bootclock.Now(),
 	})
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,6 +32,9 @@
 	// progressDelay is how long first events and ends are held back, to be
 	// sent together with new work: about one pass of an engine.
 	progressDelay = 50 * time.Millisecond
+	// batchInterval is the time for which a gateway collects the load shares that it
+	// relays later.
+	batchInterval = 150 * time.Millisecond
 	// maxSharedJobs limits a datagram to about 8 KiB, at some 55 bytes per
 	// job.
 	maxSharedJobs = 140
@@ -53,6 +57,7 @@
 	defer due.Stop()
 	isProgressPending := false // due is set to progressDelay
 	for sequence := uint64(1); ; {
+		isNew := true
 		select {
 		case <-ctx.Done():
 			return
@@ -67,8 +72,9 @@
 			}
 			continue
 		case <-due.C:
+			isNew = false
 		}
-		g.sendShare(sequence)
+		g.sendShare(sequence, isNew)
 		sequence++
 		isProgressPending = false
 		// The gateways often start together; without jitter all of them would send at
@@ -82,10 +88,23 @@
 	return max(minShareInterval, time.Duration(g.members.count())*shareIntervalPerGateway)
 }
 
-// sendShare sends the load share of this gateway to the other gateways.
-func (g *Gateway) sendShare(sequence uint64) {
+// sendShare sends the load share of this gateway to the other gateways, or to those of
+// its own failure domain and of the failure domains that its work uses; see
+// localDetailGateways. There, a load share without new work goes to one gateway of the
+// failure domain, which sends it on in a batch.
+func (g *Gateway) sendShare(sequence uint64, isNew bool) {
 	s := g.share(sequence)
-	direct, relays := g.members.shareTargets()
+	var used map[string]bool
+	isLocalDetail := g.members.isLocalDetail()
+	if isLocalDetail {
+		used = g.workTable.usedDomainsNow(bootclock.Now())
+	}
+	direct, relays := g.members.shareTargets(used)
+	if batcher, ok := g.members.batcher(); ok && isLocalDetail && !isNew {
+		direct = nil
+		s.Later = true
+		relays = append(relays, batcher)
+	}
 	g.sendShareTo(s, direct)
 	if len(relays) > 0 {
 		s.Relay = true
@@ -111,13 +130,70 @@
 	}
 }
 
-// relayShare sends a load share on to the other gateways of the failure domain.
+// relayShare sends a load share on to the other gateways of the failure domain, at once
+// or in the next batch.
 func (g *Gateway) relayShare(s *wirepb.LoadShare) {
 	s.Relay = false
 	sharesRelayed.Inc()
+	if s.GetLater() {
+		s.Later = false
+		if g.batch.add(s) {
+			time.AfterFunc(batchInterval, g.sendBatch)
+		}
+		return
+	}
 	g.sendShareTo(s, g.members.domainAddresses())
 }
 
+// shareBatch collects load shares that are sent on together.
+type shareBatch struct {
+	mu     sync.Mutex
+	shares map[string]*wirepb.LoadShare
+}
+
+// add adds the load share of a gateway, which replaces an earlier one. It reports
+// whether it is the first one of a batch.
+func (b *shareBatch) add(s *wirepb.LoadShare) (isFirst bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.shares == nil {
+		b.shares = map[string]*wirepb.LoadShare{}
+	}
+	isFirst = len(b.shares) == 0
+	if old := b.shares[s.GetGateway()]; old == nil || old.GetIncarnation() != s.GetIncarnation() || old.GetSequence() < s.GetSequence() {
+		b.shares[s.GetGateway()] = s
+	}
+	return isFirst
+}
+
+// take removes and returns the collected load shares, in messages of about
+// maxSharedJobs jobs.
+func (b *shareBatch) take() []*wirepb.LoadShare {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*wirepb.LoadShare
+	jobs := maxSharedJobs
+	for _, s := range b.shares {
+		if jobs+len(s.GetRunning()) >= maxSharedJobs {
+			out, jobs = append(out, &wirepb.LoadShare{}), 0
+		}
+		last := out[len(out)-1]
+		last.Batch = append(last.Batch, s)
+		// A load share without jobs takes some space as well.
+		jobs += 1 + len(s.GetRunning())
+	}
+	clear(b.shares)
+	return out
+}
+
+// sendBatch sends the collected load shares on to the failure domain.
+func (g *Gateway) sendBatch() {
+	addresses := g.members.domainAddresses()
+	for _, m := range g.batch.take() {
+		g.sendShareTo(m, addresses)
+	}
+}
+
 // share returns the load share of this gateway, with at most maxSharedJobs jobs.
 func (g *Gateway) share(sequence uint64) *wirepb.LoadShare {
 	b := g.workTable
@@ -161,17 +237,38 @@
 			continue
 		}
 		s := &wirepb.LoadShare{}
-		if err := proto.Unmarshal(buf[:n], s); err != nil || s.GetGateway() == "" {
+		if err := proto.Unmarshal(buf[:n], s); err != nil {
 			sharesInvalid.Inc()
 			g.log.Debug("invalid load share", zap.Int("bytes", n), observe.Error(err))
 			continue
 		}
+		g.receiveShare(s)
+	}
+}
+
+// receiveShare merges one message of another gateway and relays it if it asks for that.
+func (g *Gateway) receiveShare(s *wirepb.LoadShare) {
+	if s.GetGateway() == "" && s.GetSummary() == nil && len(s.GetBatch()) == 0 {
+		sharesInvalid.Inc()
+		return
+	}
+	if s.GetRelay() {
+		defer g.relayShare(s)
+	}
+	if summary := s.GetSummary(); summary != nil {
+		g.mergeSummary(summary)
+		return
+	}
+	if s.GetGateway() != "" {
 		sharesReceived.Inc()
-		if s.GetRelay() {
-			g.relayShare(s)
-		}
 		g.mergeShare(s)
 	}
+	for _, part := range s.GetBatch() {
+		if part.GetGateway() != "" && part.GetGateway() != g.settings.ID {
+			sharesReceived.Inc()
+			g.mergeShare(part)
+		}
+	}
 }
 
 // mergeShare stores a load share from another gateway. It ignores the work in a
--- /dev/null
+++ b/internal/gateway/summary.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"context"
+	"hash/maphash"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/enginemodel"
+	"bilberryhub/internal/wirepb"
+)
+
+const (
+	// localDetailGateways is the number of gateways from which on load shares stay
+	// within the failure domain: with the load shares of all, each gateway receives as
+	// many datagrams as all callers send requests, several times over. Gateways of
+	// other failure domains get summaries instead.
+	localDetailGateways = 128
+	// summaryInterval is the time between two summaries of one sender, and
+	// summarySenders the number of gateways of a failure domain that send them, so that
+	// a lost one is missed by half of the summaries only.
+	summaryInterval = time.Second
+	summarySenders  = 2
+	// summaryLifetime is how long a summary is used without a newer one.
+	summaryLifetime = 3 * summaryInterval
+	// summaryDelay is the longest time that work is on its way into a summary. Work of
+	// this failure domain that is younger than a summary by less is counted beside it.
+	summaryDelay = 100 * time.Millisecond
+	// remoteSample is the number of backend servers of each other failure domain that
+	// are candidates for one request, chosen at random so that the gateways don't all
+	// choose the same one on the same summary. remoteSampleAlone replaces it if fewer
+	// than minLocalBackends of this failure domain can be chosen.
+	remoteSample      = 3
+	remoteSampleAlone = 8
+	minLocalBackends  = 8
+	// usedDomainRetention is how long a failure domain gets load shares after the last
+	// work there was sent: they tell that it has ended.
+	usedDomainRetention = 20 * time.Second
+)
+
+var (
+	summariesSent     = metrics.GetOrCreateCounter(`bilberry_gateway_summaries_sent_total`)
+	summariesReceived = metrics.GetOrCreateCounter(`bilberry_gateway_summaries_received_total`)
+)
+
+// summary is the latest summary of the work in another failure domain.
+type summary struct {
+	incarnation, sequence uint64
+	at                    time.Duration
+	backends              map[uint64]*wirepb.BackendSummary
+}
+
+// sendSummaries sends summaries of the work in this failure domain to the others, if it
+// is this gateway's turn, until ctx ends.
+func (g *Gateway) sendSummaries(ctx context.Context) {
+	for sequence := uint64(1); ; sequence++ {
+		if !sleep(ctx, time.Duration((1-shareJitter*g.random())*float64(summaryInterval))) {
+			return
+		}
+		if !g.members.isLocalDetail() || !g.members.isSummarySender() {
+			continue
+		}
+		_, relays := g.members.shareTargets(nil)
+		g.sendShareTo(&wirepb.LoadShare{Relay: true, Summary: g.summary(sequence)}, relays)
+		summariesSent.Inc()
+	}
+}
+
+// summary returns a summary of the work at the backend servers of this failure domain.
+func (g *Gateway) summary(sequence uint64) *wirepb.LoadSummary {
+	servers, _ := g.members.backends()
+	now := bootclock.Now()
+	g.workTable.mu.Lock()
+	works := g.workTable.works(now)
+	g.workTable.mu.Unlock()
+	out := &wirepb.LoadSummary{FailureDomain: g.settings.FailureDomain, Incarnation: g.incarnation, Sequence: sequence}
+	for _, b := range servers {
+		if b.FailureDomain == g.settings.FailureDomain && len(works[b.Key()]) > 0 {
+			out.Backends = append(out.Backends, summarize(b.Key(), works[b.Key()], ms(now)))
+		}
+	}
+	return out
+}
+
+// summarize returns the summary of the work at one backend server. now is in ms on the
+// clock of the works.
+func summarize(backend uint64, works []enginemodel.Work, now float64) *wirepb.BackendSummary {
+	s := &wirepb.BackendSummary{Backend: backend}
+	var writingPrompt, writingOutput, writingAge, part, partPrompt, partAge, held float64
+	for i := range works {
+		w := &works[i]
+		if w.Ended {
+			continue
+		}
+		held += w.HeldTokens
+		s.PauseMs = stricter(s.PauseMs, w.PauseMs)
+		if w.Decoding {
+			s.Writing++
+			writingPrompt += w.PromptTokens
+			writingOutput += w.OutputTokens
+			writingAge += now - w.DoneMs
+			continue
+		}
+		s.Parts++
+		if w.Helper {
+			s.HelperParts++
+		}
+		s.ObjectiveMs = stricter(s.ObjectiveMs, w.ObjectiveMs)
+		part += w.PartTokens
+		partPrompt += w.PromptTokens
+		partAge += now - w.SentMs
+	}
+	mean := func(sum float64, n uint32) uint32 { return uint32(max(0, sum/float64(max(1, n)))) }
+	s.WritingPromptTokens, s.WritingOutputTokens = mean(writingPrompt, s.Writing), mean(writingOutput, s.Writing)
+	s.WritingMs = mean(writingAge, s.Writing)
+	s.PartTokens, s.PartPromptTokens, s.PartAgeMs = mean(part, s.Parts), mean(partPrompt, s.Parts), mean(partAge, s.Parts)
+	s.HeldTokens = uint32(max(0, held))
+	return s
+}
+
+// stricter returns the smaller of two objectives in ms, 0 meaning none.
+func stricter(current uint32, ms float64) uint32 {
+	if ms <= 0 || (current > 0 && float64(current) <= ms) {
+		return current
+	}
+	return uint32(ms)
+}
+
+// summarizedWorks returns works that stand for a summary received at the time at.
+func summarizedWorks(s *wirepb.BackendSummary, at time.Duration) []enginemodel.Work {
+	out := make([]enginemodel.Work, 0, s.GetWriting()+s.GetParts())
+	w := enginemodel.Work{
+		PromptTokens: float64(s.GetWritingPromptTokens()), OutputTokens: float64(s.GetWritingOutputTokens()), Decoding: true,
+		DoneMs: ms(at) - float64(s.GetWritingMs()), PauseMs: float64(s.GetPauseMs()),
+	}
+	w.SentMs = w.DoneMs
+	w.Value = estimatedValue(w)
+	for i := range s.GetWriting() {
+		w.Request = summarizedRequest(s, i)
+		out = append(out, w)
+	}
+	w = enginemodel.Work{
+		PromptTokens: float64(s.GetPartPromptTokens()), PartTokens: float64(s.GetPartTokens()),
+		OutputTokens: float64(s.GetWritingOutputTokens()), SentMs: ms(at) - float64(s.GetPartAgeMs()),
+		PauseMs: float64(s.GetPauseMs()), ObjectiveMs: float64(s.GetObjectiveMs()),
+	}
+	w.Value = estimatedValue(w)
+	for i := range s.GetParts() {
+		w.Request, w.Helper = summarizedRequest(s, s.GetWriting()+i), i < s.GetHelperParts()
+		out = append(out, w)
+	}
+	if len(out) > 0 {
+		out[0].HeldTokens = float64(s.GetHeldTokens())
+	}
+	return out
+}
+
+// summarizedRequest returns a request id for one of the works of a summary.
+func summarizedRequest(s *wirepb.BackendSummary, i uint32) uint64 {
+	return maphash.Comparable(summarySeed, [2]uint64{s.GetBackend(), uint64(i)})
+}
+
+var summarySeed = maphash.MakeSeed()
+
+// mergeSummary stores a summary of another failure domain unless it is older than the
+// stored one of the same sender.
+func (g *Gateway) mergeSummary(s *wirepb.LoadSummary) {
+	domain := s.GetFailureDomain()
+	if domain == "" || domain == g.settings.FailureDomain {
+		sharesInvalid.Inc()
+		return
+	}
+	summariesReceived.Inc()
+	g.recordContact(domain)
+	now := bootclock.Now()
+	received := &summary{incarnation: s.GetIncarnation(), sequence: s.GetSequence(), at: now, backends: map[uint64]*wirepb.BackendSummary{}}
+	for _, b := range s.GetBackends() {
+		received.backends[b.GetBackend()] = b
+	}
+	t := g.workTable
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old := t.summaries[domain]; old != nil && old.incarnation == received.incarnation && old.sequence >= received.sequence {
+		return
+	}
+	t.summaries[domain] = received
+}
+
+// remoteWorks returns the work at a backend server of another failure domain: what its
+// summary says, and what is known here and is too young for it. Without a recent
+// summary it is what is known here. The caller holds the lock.
+func (b *workTable) remoteWorks(domain string, backend uint64, known []enginemodel.Work, now time.Duration) []enginemodel.Work {
+	s := b.summaries[domain]
+	if s == nil || now-s.at > summaryLifetime {
+		return known
+	}
+	var out []enginemodel.Work
+	if summarized := s.backends[backend]; summarized != nil {
+		out = summarizedWorks(summarized, s.at)
+	}
+	for _, w := range known {
+		if !w.Ended && w.SentMs > ms(s.at-summaryDelay) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// sampleRemote returns the candidates of this failure domain and a random sample of
+// those of each other one, in an order of its own.
+func sampleRemote(list []candidate, local string) []candidate {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	inDomain := map[string]int{}
+	for _, c := range list {
+		inDomain[c.server.FailureDomain]++
+	}
+	limit := remoteSample
+	if inDomain[local] < minLocalBackends {
+		limit = remoteSampleAlone
+	}
+	out := make([]candidate, 0, len(list))
+	clear(inDomain)
+	for _, c := range list {
+		domain := c.server.FailureDomain
+		if inDomain[domain]++; domain == local || inDomain[domain] <= limit {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// isLocalDetail reports whether load shares stay within the failure domain.
+func (m *members) isLocalDetail() bool { return m.count() >= localDetailGateways }
+
+// isSummarySender reports whether it is this gateway's turn to send summaries of its
+// failure domain: it is among the first in an order that all of them share.
+func (m *members) isSummarySender() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self, before := xxhash.Sum64String(m.g.settings.ID), 0
+	for id, entry := range m.gateways {
+		if entry.info.GetFailureDomain() == m.g.settings.FailureDomain && xxhash.Sum64String(id) < self {
+			before++
+		}
+	}
+	return before < summarySenders
+}
--- a/internal/gateway/worktable.go
+++ b/internal/gateway/worktable.go
@@ -26,6 +26,10 @@
 	local map[*job]struct{}
 	// others holds the latest load share of each other gateway, by gateway id.
 	others map[string]*share
+	// summaries holds the latest summary of each other failure domain.
+	summaries map[string]*summary
+	// usedDomains holds when work was last sent to each failure domain.
+	usedDomains map[string]time.Duration
 	// added is signaled when local work was added, progressed when some of it
 	// had its first event or ended. The other gateways may receive progress a
 	// little later.
@@ -79,9 +83,25 @@
 		local: map[*job]struct{}{}, others: map[string]*share{},
 		added: make(chan struct{}, 1), progressed: make(chan struct{}, 1),
 		coldSends: map[uint64][]time.Duration{}, endedWork: map[uint64][]enginemodel.Work{},
+		summaries: map[string]*summary{}, usedDomains: map[string]time.Duration{},
 	}
 }
 
+// usedDomainsNow returns the failure domains to which work was sent recently.
+func (b *workTable) usedDomainsNow(now time.Duration) map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	used := map[string]bool{}
+	for domain, at := range b.usedDomains {
+		if now-at > usedDomainRetention {
+			delete(b.usedDomains, domain)
+			continue
+		}
+		used[domain] = true
+	}
+	return used
+}
+
 // add adds work of this gateway. The caller holds the lock.
 func (b *workTable) add(j *job) {
 	b.local[j] = struct{}{}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -42,9 +42,30 @@
 // Table holds the state of all failure domains. Use NewTable; the zero value is
 // not usable. A Table is not safe for concurrent use.
 type Table struct {
+	// SuspectAfter replaces the constant of this name if it is set: senders may have
+	// longer intervals.
+	SuspectAfter time.Duration
+
 	domains map[string]*domain
 }
 
+// suspectAfter returns the silence after which a failure domain is probed.
+func (t *Table) suspectAfter() time.Duration {
+	if t.SuspectAfter > 0 {
+		return t.SuspectAfter
+	}
+	return SuspectAfter
+}
+
+// NextProbe returns when the next one of the failure domains may be due to be probed.
+func (t *Table) NextProbe(now time.Duration) time.Duration {
+	next := now + t.suspectAfter()
+	for _, d := range t.domains {
+		next = min(next, max(d.lastContactAt+t.suspectAfter(), d.lastProbeAt+ProbeInterval))
+	}
+	return next
+}
+
 // NewTable returns an empty table, in which every failure domain counts as
 // reachable.
 func NewTable() *Table { return &Table{domains: map[string]*domain{}} }
@@ -106,7 +127,7 @@
 // probed. If so, it records the probe as started at now.
 func (t *Table) TakeProbe(name string, now time.Duration) bool {
 	d := t.entry(name, now)
-	if now-d.lastContactAt < SuspectAfter || now-d.lastProbeAt < ProbeInterval {
+	if now-d.lastContactAt < t.suspectAfter() || now-d.lastProbeAt < ProbeInterval {
 		return false
 	}
 	d.lastProbeAt = now
