Batch all load shares of a failure domain; wait longer for long prompts

Load shares state when the sender last heard from an engine, and a first event is waited for at least 0.75 of the objective, since in a burst the parts of later prompts go ahead (predicted 540 ms, seen 2,175 ms at the median).

All load shares of a failure domain go to one gateway, which sends them on in batches of 40 ms; a gateway that gets no batch for 300 ms asks the next one.

--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -134,11 +134,13 @@
 	p.decayedAt = now
 }
 
-// recordReceived records that something was received from a backend server.
-func (h *health) recordReceived(backend uint64, now time.Duration) {
+// recordReceived records that something was received from a backend server at a time,
+// by this gateway or by another one.
+func (h *health) recordReceived(backend uint64, at time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entry(backend).lastReceivedAt = now
+	p := h.entry(backend)
+	p.lastReceivedAt = max(p.lastReceivedAt, at)
 }
 
 // lastReceived returns when something was last received from a backend server.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -318,7 +318,8 @@
 // shareTargets returns the datagram addresses of the gateways that a load share is sent
 // to directly, and of those that relay it. For each load share another gateway of a
 // failure domain relays, so that one that is lost costs a few of them only. used, if not
-// nil, limits the other failure domains.
+// nil, limits the other failure domains, and leaves out the gateways of the own failure
+// domain that relay: they get batches.
 func (m *members) shareTargets(used map[string]bool) (direct, relays []netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -328,6 +329,7 @@
 		isLocal := domain == m.g.settings.FailureDomain
 		switch {
 		case !entry.address.IsValid() || (used != nil && !isLocal && !used[domain]):
+		case used != nil && isLocal && entry.info.GetRelays():
 		case isLocal || !entry.info.GetRelays():
 			direct = append(direct, entry.address)
 		default:
@@ -344,25 +346,24 @@
 	return direct, relays
 }
 
-// batcher returns the address of a gateway of this failure domain that collects load
-// shares: one of the first in an order that all of them share, chosen at random. There
-// is none if this gateway would be the choice.
-func (m *members) batcher() (netip.AddrPort, bool) {
+// batcher returns the gateway of this failure domain that collects load shares: the one
+// at position skip of an order that all of them share. The address is invalid if that is
+// this gateway.
+func (m *members) batcher(skip int) netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	type ranked struct {
 		hash    uint64
 		address netip.AddrPort
 	}
-	first := []ranked{{hash: xxhash.Sum64String(m.g.settings.ID)}}
+	order := []ranked{{hash: xxhash.Sum64String(m.g.settings.ID)}}
 	for id, entry := range m.gateways {
 		if entry.info.GetFailureDomain() == m.g.settings.FailureDomain && entry.info.GetRelays() && entry.address.IsValid() {
-			first = append(first, ranked{xxhash.Sum64String(id), entry.address})
+			order = append(order, ranked{xxhash.Sum64String(id), entry.address})
 		}
 	}
-	slices.SortFunc(first, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
-	chosen := first[rand.IntN(min(summarySenders, len(first)))]
-	return chosen.address, chosen.address.IsValid()
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	return order[skip%len(order)].address
 }
 
 // domainAddresses returns the datagram addresses of the other gateways in the failure
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -33,8 +33,13 @@
 	// sent together with new work: about one pass of an engine.
 	progressDelay = 50 * time.Millisecond
 	// batchInterval is the time for which a gateway collects the load shares that it
-	// relays later.
-	batchInterval = 150 * time.Millisecond
+	// relays in a batch.
+	batchInterval = 40 * time.Millisecond
+	// batchTimeout is the time without a batch after which another gateway is asked to
+	// collect. batchRetryTime is how long a gateway without load shares to send goes on
+	// with it.
+	batchTimeout   = 300 * time.Millisecond
+	batchRetryTime = 5 * time.Second
 	// maxSharedJobs limits a datagram to about 8 KiB, at some 55 bytes per
 	// job.
 	maxSharedJobs = 140
@@ -57,7 +62,6 @@
 	defer due.Stop()
 	isProgressPending := false // due is set to progressDelay
 	for sequence := uint64(1); ; {
-		isNew := true
 		select {
 		case <-ctx.Done():
 			return
@@ -72,9 +76,8 @@
 			}
 			continue
 		case <-due.C:
-			isNew = false
 		}
-		g.sendShare(sequence, isNew)
+		g.sendShare(sequence)
 		sequence++
 		isProgressPending = false
 		// The gateways often start together; without jitter all of them would send at
@@ -90,26 +93,29 @@
 
 // sendShare sends the load share of this gateway to the other gateways, or to those of
 // its own failure domain and of the failure domains that its work uses; see
-// localDetailGateways. There, a load share without new work goes to one gateway of the
-// failure domain, which sends it on in a batch.
-func (g *Gateway) sendShare(sequence uint64, isNew bool) {
+// localDetailGateways. In its own failure domain it then goes to one gateway, which sends
+// it on in a batch.
+func (g *Gateway) sendShare(sequence uint64) {
 	s := g.share(sequence)
-	var used map[string]bool
-	isLocalDetail := g.members.isLocalDetail()
-	if isLocalDetail {
-		used = g.workTable.usedDomainsNow(bootclock.Now())
-	}
-	direct, relays := g.members.shareTargets(used)
-	if batcher, ok := g.members.batcher(); ok && isLocalDetail && !isNew {
-		direct = nil
-		s.Later = true
-		relays = append(relays, batcher)
-	}
-	g.sendShareTo(s, direct)
-	if len(relays) > 0 {
+	if !g.members.isLocalDetail() {
+		direct, relays := g.members.shareTargets(nil)
+		g.sendShareTo(s, direct)
 		s.Relay = true
 		g.sendShareTo(s, relays)
+		return
+	}
+	now := bootclock.Now()
+	direct, relays := g.members.shareTargets(g.workTable.usedDomainsNow(now))
+	s.Relay = true
+	g.sendShareTo(s, relays)
+	s.Later = true
+	if batcher := g.members.batcher(g.batch.skipBatchers(now)); batcher.IsValid() {
+		g.sendShareTo(s, []netip.AddrPort{batcher})
+	} else {
+		g.relayShare(s)
 	}
+	s.Relay, s.Later = false, false
+	g.sendShareTo(s, direct)
 }
 
 // sendShareTo sends one datagram to each of the addresses. Those that can't be sent are
@@ -149,6 +155,36 @@
 type shareBatch struct {
 	mu     sync.Mutex
 	shares map[string]*wirepb.LoadShare
+	// skip is the number of gateways that are skipped in the order of those that
+	// collect. sentAt is when a load share was last sent to one, and receivedAt when a
+	// batch last arrived.
+	skip               int
+	sentAt, receivedAt time.Duration
+}
+
+// skipBatchers returns the number of gateways to skip in the order of those that collect
+// load shares. It grows when no batch has arrived since the last load share, and is 0
+// again after some time.
+func (b *shareBatch) skipBatchers(now time.Duration) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.sentAt > 0 && b.receivedAt < b.sentAt && now-b.sentAt > batchTimeout:
+		b.skip++
+	case b.skip > 0 && now-b.sentAt > batchRetryTime:
+		b.skip = 0
+	}
+	if b.receivedAt >= b.sentAt || now-b.sentAt > batchTimeout {
+		b.sentAt = now
+	}
+	return b.skip
+}
+
+// recordBatch records that a batch has arrived.
+func (b *shareBatch) recordBatch(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.receivedAt = now
 }
 
 // add adds the load share of a gateway, which replaces an earlier one. It reports
@@ -192,6 +228,8 @@
 	for _, m := range g.batch.take() {
 		g.sendShareTo(m, addresses)
 	}
+	// Its own load shares have arrived as well.
+	g.batch.recordBatch(bootclock.Now())
 }
 
 // share returns the load share of this gateway, with at most maxSharedJobs jobs.
@@ -214,6 +252,9 @@
 			PauseMs: uint32(j.work.PauseMs), ObjectiveMs: uint32(j.work.ObjectiveMs), Helper: j.work.Helper,
 			Request: j.work.Request, HeldTokens: uint32(j.work.HeldTokens),
 		}
+		if at := g.health.lastReceived(j.backend); at > 0 {
+			r.HeardMs = uint32(max(0, now-at).Milliseconds()) + 1
+		}
 		if j.work.Decoding {
 			r.WritingMs = uint32(max(0, ms(now)-j.work.DoneMs))
 		}
@@ -263,6 +304,9 @@
 		sharesReceived.Inc()
 		g.mergeShare(s)
 	}
+	if len(s.GetBatch()) > 0 {
+		g.batch.recordBatch(bootclock.Now())
+	}
 	for _, part := range s.GetBatch() {
 		if part.GetGateway() != "" && part.GetGateway() != g.settings.ID {
 			sharesReceived.Inc()
@@ -292,6 +336,9 @@
 	}
 	received := &share{incarnation: s.GetIncarnation(), sequence: s.GetSequence(), at: now, lifetime: shareLifetime(milliseconds(int64(s.GetNextWithinMs())))}
 	for _, r := range s.GetRunning() {
+		if heard := r.GetHeardMs(); heard > 0 {
+			g.health.recordReceived(r.GetBackend(), now-milliseconds(int64(heard-1)))
+		}
 		sent := now - milliseconds(int64(r.GetAgeMs()))
 		w := enginemodel.Work{
 			Request: r.GetRequest(), HeldTokens: float64(r.GetHeldTokens()), SentMs: ms(sent), PromptTokens: float64(r.GetPromptTokens()), PartTokens: float64(r.GetPartTokens()),
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -116,7 +116,7 @@
 		}
 		return out
 	}
-	s.g.sendShare(1, true)
+	s.g.sendShare(1)
 	got := received()
 	for domain, want := range map[string]int{"a": 5, "b": 1, "o": 5, "d": 1} {
 		if len(got[domain]) != want {
@@ -147,3 +147,71 @@
 		}
 	}
 }
+
+// TestSignsOfLifeAreShared answers the pattern of many gateways with few requests each: a
+// long prompt waits at an engine from which its own gateway receives nothing else. It
+// must not be cut as silent while the engine sends events to other gateways, because it
+// would be prefilled again elsewhere.
+func TestSignsOfLifeAreShared(t *testing.T) {
+	s := newSetup(t)
+	engine := s.announce("engine", "model", "a", "10.0.0.1:80")
+	s.announce("other", "model", "a", "10.0.0.2:80")
+	version := testVersion(t, 1)
+	now := bootclock.Now()
+	route, service := version.Manifest.Routing.Routes[2], version.Manifest.Routing.Services[1]
+	r := &request{version: version, route: &route, service: &service, deadline: now + 10*time.Second}
+	a := &attempt{g: s.g, r: r, pick: &pick{backend: engine, job: &job{backend: engine.Key()}}}
+	if !route.Idempotent() || !a.canFailOver(now) {
+		t.Fatal("the request can't continue elsewhere")
+	}
+	if wait := a.extendWait(); wait != 0 {
+		t.Fatalf("waits %s for an engine from which nothing was received", wait)
+	}
+	peer := newSetup(t)
+	peer.g.health.recordReceived(engine.Key(), now)
+	peer.g.workTable.mu.Lock()
+	peer.g.workTable.add(&job{backend: engine.Key(), sent: now})
+	peer.g.workTable.mu.Unlock()
+	peer.g.settings.ID = "gateway-2"
+	data, err := proto.Marshal(peer.g.share(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	share := &wirepb.LoadShare{}
+	if err := proto.Unmarshal(data, share); err != nil {
+		t.Fatal(err)
+	}
+	s.g.receiveShare(share)
+	if wait := a.extendWait(); wait <= 0 {
+		t.Error("a long prompt is cut although another gateway receives events of the engine")
+	}
+	if at := s.g.health.lastReceived(engine.Key()); at > bootclock.Now() || at < now-50*time.Millisecond {
+		t.Errorf("last received at %s, want about %s", at, now)
+	}
+	time.Sleep(aliveWindow)
+	if wait := a.extendWait(); wait != 0 {
+		t.Errorf("waits %s for an engine that has become silent", wait)
+	}
+}
+
+// TestLongPromptsAreNotCutInABurst answers the pattern of a burst of long prompts: each
+// part that arrives later goes ahead, so that a first event predicted for 150 ms may come
+// after 2 s, well within an objective of 4 s. The prompt must not be sent to other engines
+// meanwhile, which would prefill it again and delay the others.
+func TestLongPromptsAreNotCutInABurst(t *testing.T) {
+	s := newSetup(t)
+	version := testVersion(t, 1)
+	route, service := version.Manifest.Routing.Routes[2], version.Manifest.Routing.Services[1]
+	now := bootclock.Now()
+	r := &request{version: version, route: &route, service: &service, arrived: now, deadline: now + 15*time.Second}
+	a := &attempt{g: s.g, r: r, pick: &pick{predictedMs: 150}}
+	for objectiveMs, want := range map[float64][2]time.Duration{
+		4000: {2 * time.Second, 4 * time.Second},
+		300:  {time.Second, 2 * time.Second},
+	} {
+		route.ObjectiveMs = objectiveMs
+		if limit := a.firstEventLimit(); limit < want[0] || limit > want[1] {
+			t.Errorf("objective %.0f ms: a first event is waited for %s, want %s to %s", objectiveMs, limit, want[0], want[1])
+		}
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,6 +20,10 @@
 	// relative to its prediction, before another backend server is tried.
 	firstEventFactor = 2.5
 	firstEventSlack  = 900 * time.Millisecond
+	// firstEventObjectiveShare is the share of the objective for which a first event is
+	// waited for at least. Parts of prompts that arrive later are prefilled first, so
+	// that a long prompt may take several times the predicted time in a burst of them.
+	firstEventObjectiveShare = 0.75
 	// failoverShare is the share of the caller's waiting time after which the
 	// attempt at a silent backend server is canceled, so that another one still
 	// has time. If the limit for the first event is later than that, waiting is better:
@@ -102,6 +106,7 @@
 		return 0
 	}
 	limit := time.Duration(firstEventFactor*a.pick.predictedMs*float64(time.Millisecond)) + firstEventSlack
+	limit = max(limit, time.Duration(firstEventObjectiveShare*a.r.route.ObjectiveMs*float64(time.Millisecond)))
 	if limit > a.failoverTimeout() {
 		return 0
 	}
