Count only events with content as progress of a stream

Cause: a blank line or comment counted as an event. A backend server that hung but sent one now and then reset the watchdog, so that the stream was moved elsewhere only at the deadline. Blank lines and comments belong to the event that follows them.

TestStreamThatSendsNothingButCommentsIsMoved before: 5.0 s of comments and a broken end; now the stream continues elsewhere.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -224,39 +224,46 @@
 }
 
 // eventReader splits a stream into events, each including its terminating blank
-// line.
+// line. Blank lines and comments before an event belong to it: a backend server that
+// sends nothing else now and then makes no progress.
 type eventReader struct{ r *bufio.Reader }
 
 func newEventReader(r io.Reader) *eventReader { return &eventReader{bufio.NewReaderSize(r, 4<<10)} }
 
 // next returns a complete event. It returns io.EOF at a clean end, and
-// io.ErrUnexpectedEOF if the stream ends inside an event.
+// io.ErrUnexpectedEOF if the stream ends inside an event. What follows the last event
+// without being one is returned like an event.
 func (e *eventReader) next() ([]byte, error) {
 	var event []byte
+	hasField, isLineStart := false, true
 	for {
 		line, err := e.r.ReadSlice('\n')
 		event = append(event, line...)
+		if isLineStart && len(line) > 0 && !isBlank(line) && line[0] != ':' {
+			hasField = true
+		}
 		switch {
-		case err == bufio.ErrBufferFull:
+		case err == nil || err == bufio.ErrBufferFull:
 			if len(event) > maxEventBytes {
 				return nil, errors.Errorf("event is larger than %d bytes", maxEventBytes)
 			}
-			continue
-		case err == io.EOF && len(event) > 0:
+		case err == io.EOF && len(event) > 0 && (hasField || len(line) > 0):
 			return nil, io.ErrUnexpectedEOF
-		case err != nil:
+		case err == io.EOF && len(event) > 0:
+			return event, nil
+		default:
 			return nil, err
 		}
-		if len(event) > maxEventBytes {
-			return nil, errors.Errorf("event is larger than %d bytes", maxEventBytes)
-		}
-		if len(line) <= 2 && len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) &&
-			event[len(event)-len(line)-1] == '\n' {
+		if hasField && isLineStart && isBlank(line) {
 			return event, nil
 		}
+		isLineStart = err == nil
 	}
 }
 
+// isBlank reports whether a line is empty apart from its end.
+func isBlank(line []byte) bool { return len(line) <= 2 && len(bytes.TrimRight(line, "\r\n")) == 0 }
+
 // eventID returns the id of an event, and whether it has one.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
