Share failures of backend servers between gateways

Cause: failures that aren't connection failures were known to one gateway only.

Verdicts carry the recent served and failed requests of their sender, and a choice counts those of all gateways of the failure domain.

--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -31,6 +31,10 @@
 	minSlowness = 1.5
 	// maxSlowness limits the factor derived from one first event.
 	maxSlowness = 20
+	// minSharedFailures is the weight of failures from which on they are shared, and
+	// minPeerWeight the weight of shared outcomes below which they are forgotten.
+	minSharedFailures = 0.3
+	minPeerWeight     = 0.05
 )
 
 // outcome is how an exchange with a backend server ended.
@@ -69,6 +73,8 @@
 	// deadAt is when a connection was refused: no process listens there any
 	// more.
 	deadAt time.Duration
+	// peers holds the recent outcomes of other gateways, by gateway id.
+	peers map[string]peerOutcomes
 	// peerAvoidUntil is until when other gateways report the backend server as
 	// to be avoided.
 	peerAvoidUntil time.Duration
@@ -76,6 +82,31 @@
 	lastReceivedAt time.Duration
 }
 
+// peerOutcomes are the recent outcomes of another gateway at one backend server, as of
+// the time at.
+type peerOutcomes struct {
+	served, failed float64
+	at             time.Duration
+}
+
+// outcomes returns the recent outcomes of this gateway and the others. With hundreds of
+// gateways, each of them has too few of its own to judge a backend server by, and one
+// that fails requests quickly looks idle to all.
+func (p *backendHealth) outcomes(now time.Duration) (served, failed float64) {
+	p.decay(now)
+	served, failed = p.served, p.failed
+	for id, o := range p.peers {
+		weight := math.Exp2(-float64(now-o.at) / float64(failureHalfLife))
+		if weight < minPeerWeight {
+			delete(p.peers, id)
+			continue
+		}
+		served += weight * o.served
+		failed += weight * o.failed
+	}
+	return served, failed
+}
+
 // health tracks the health of backend servers from the outcomes of requests.
 // There are no active health checks: they take a slot, and a success proves
 // little.
@@ -193,12 +224,12 @@
 	if p == nil {
 		return c
 	}
-	p.decay(now)
 	c.dead = p.deadAt > 0 && b.SeenAt <= p.deadAt
 	if now < max(p.avoidUntil, p.peerAvoidUntil) {
 		c.avoid = true
 	}
-	c.failureShare = max(0, p.failed/(p.failed+p.served+priorServed)-toleratedFailureShare)
+	served, failed := p.outcomes(now)
+	c.failureShare = max(0, failed/(failed+served+priorServed)-toleratedFailureShare)
 	if s := p.ownSlowness(now); s > 1 {
 		c.slowness = s
 	}
@@ -216,29 +247,44 @@
 	return p.slowness
 }
 
-// verdicts returns the backend servers that the other gateways should avoid
-// too.
+// verdicts returns the backend servers that the other gateways should avoid too, or at
+// which requests of this gateway have failed.
 func (h *health) verdicts(now time.Duration) []*wirepb.Verdict {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []*wirepb.Verdict
 	for backend, p := range h.backends {
-		if left := (p.avoidUntil - now).Milliseconds(); left > 0 {
-			out = append(out, &wirepb.Verdict{Backend: backend, AvoidMs: uint32(left)})
+		p.decay(now)
+		left := max(0, (p.avoidUntil - now).Milliseconds())
+		if left == 0 && p.failed < minSharedFailures {
+			continue
 		}
+		out = append(out, &wirepb.Verdict{
+			Backend: backend, AvoidMs: uint32(left),
+			ServedHundredths: uint32(100 * p.served), FailedHundredths: uint32(100 * p.failed),
+		})
 	}
 	return out
 }
 
 // mergeVerdicts stores the verdicts of another gateway. They apply for
 // minShareLifetime at most, so that a wrong one ends with its sender.
-func (h *health) mergeVerdicts(list []*wirepb.Verdict, now time.Duration) {
+func (h *health) mergeVerdicts(from string, list []*wirepb.Verdict, now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, v := range list {
 		p := h.entry(v.GetBackend())
 		avoid := min(milliseconds(int64(v.GetAvoidMs())), minShareLifetime)
 		p.peerAvoidUntil = max(p.peerAvoidUntil, now+avoid)
+		if v.GetFailedHundredths() == 0 {
+			continue
+		}
+		if p.peers == nil {
+			p.peers = map[string]peerOutcomes{}
+		}
+		p.peers[from] = peerOutcomes{
+			served: float64(v.GetServedHundredths()) / 100, failed: float64(v.GetFailedHundredths()) / 100, at: now,
+		}
 	}
 }
 
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -324,7 +324,7 @@
 		// In another failure domain the network path to a backend server
 		// differs.
 		if domain == g.settings.FailureDomain {
-			g.health.mergeVerdicts(s.GetVerdicts(), now)
+			g.health.mergeVerdicts(s.GetGateway(), s.GetVerdicts(), now)
 		}
 	}
 	b := g.workTable
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -215,3 +216,44 @@
 		}
 	}
 }
+
+// TestFailuresAreShared answers the pattern of a backend server that resets all requests
+// while its health check is good, before hundreds of gateways: each of them has seen one
+// or two of the failures, and the backend server looks idle, so that all of them would go
+// on choosing it.
+func TestFailuresAreShared(t *testing.T) {
+	s := newSetup(t)
+	bad := s.announce("bad", "model", "a", "10.0.0.1:80")
+	now := bootclock.Now()
+	for i := range 12 {
+		peer := newHealth()
+		peer.record(bad.Key(), outcomeFailed, now)
+		s.g.health.mergeVerdicts(fmt.Sprint("gateway-", i), peer.verdicts(now), now)
+		// The same state again, as in each further load share.
+		s.g.health.mergeVerdicts(fmt.Sprint("gateway-", i), peer.verdicts(now), now)
+	}
+	share := func(at time.Duration) float64 {
+		return s.g.health.condition(bad, bad.Key(), at, time.Minute).failureShare
+	}
+	if got := share(now); got < 0.5 || got > 0.6 {
+		t.Errorf("share of failures %.2f after 12 failures of others, want 12/17 less what is tolerated", got)
+	}
+	if got := share(now + 5*failureHalfLife); got > 0.01 {
+		t.Errorf("share of failures %.2f long after", got)
+	}
+	if n := len(s.g.health.entry(bad.Key()).peers); n != 0 {
+		t.Errorf("%d outcomes are kept", n)
+	}
+	// A few failures among many successes don't count.
+	sound := newHealth()
+	for range 20 {
+		sound.record(bad.Key(), outcomeServed, now)
+	}
+	sound.record(bad.Key(), outcomeFailed, now)
+	other := newSetup(t)
+	b := other.announce("bad", "model", "a", "10.0.0.1:80")
+	other.g.health.mergeVerdicts("gateway-2", sound.verdicts(now), now)
+	if got := other.g.health.condition(b, b.Key(), now, time.Minute).failureShare; got != 0 {
+		t.Errorf("share of failures %.2f of a backend server that fails one in twenty", got)
+	}
+}
