Send new work to the failure domain at once again

Only load shares without new work are batched, for 100 ms.

Ruled out: sharing of failures (slowness 1, 38 of 39 candidates at the same time). TestNewWorkIsNotBatched failed before.

--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -34,7 +34,7 @@
 	progressDelay = 50 * time.Millisecond
 	// batchInterval is the time for which a gateway collects the load shares that it
 	// relays in a batch.
-	batchInterval = 40 * time.Millisecond
+	batchInterval = 100 * time.Millisecond
 	// batchTimeout is the time without a batch after which another gateway is asked to
 	// collect. batchRetryTime is how long a gateway without load shares to send goes on
 	// with it.
@@ -62,6 +62,7 @@
 	defer due.Stop()
 	isProgressPending := false // due is set to progressDelay
 	for sequence := uint64(1); ; {
+		isNew := true
 		select {
 		case <-ctx.Done():
 			return
@@ -76,8 +77,9 @@
 			}
 			continue
 		case <-due.C:
+			isNew = false
 		}
-		g.sendShare(sequence)
+		g.sendShare(sequence, isNew)
 		sequence++
 		isProgressPending = false
 		// The gateways often start together; without jitter all of them would send at
@@ -93,9 +95,10 @@
 
 // sendShare sends the load share of this gateway to the other gateways, or to those of
 // its own failure domain and of the failure domains that its work uses; see
-// localDetailGateways. In its own failure domain it then goes to one gateway, which sends
-// it on in a batch.
-func (g *Gateway) sendShare(sequence uint64) {
+// localDetailGateways. There, a load share without new work goes to one gateway of the
+// failure domain, which sends it on in a batch. New work is sent at once: in a burst, all
+// gateways would choose the same engine before they learn of each other's choices.
+func (g *Gateway) sendShare(sequence uint64, isNew bool) {
 	s := g.share(sequence)
 	if !g.members.isLocalDetail() {
 		direct, relays := g.members.shareTargets(nil)
@@ -106,6 +109,13 @@
 	}
 	now := bootclock.Now()
 	direct, relays := g.members.shareTargets(g.workTable.usedDomainsNow(now))
+	if isNew {
+		g.sendShareTo(s, append(direct, g.members.domainAddresses()...))
+		s.Relay = true
+		g.sendShareTo(s, relays)
+		return
+	}
+	g.sendShareTo(s, direct)
 	s.Relay = true
 	g.sendShareTo(s, relays)
 	s.Later = true
@@ -114,8 +124,6 @@
 	} else {
 		g.relayShare(s)
 	}
-	s.Relay, s.Later = false, false
-	g.sendShareTo(s, direct)
 }
 
 // sendShareTo sends one datagram to each of the addresses. Those that can't be sent are
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -117,7 +117,7 @@
 		}
 		return out
 	}
-	s.g.sendShare(1)
+	s.g.sendShare(1, true)
 	got := received()
 	for domain, want := range map[string]int{"a": 5, "b": 1, "o": 5, "d": 1} {
 		if len(got[domain]) != want {
--- a/internal/gateway/summary_test.go
+++ b/internal/gateway/summary_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -187,3 +188,49 @@
 		t.Errorf("%d gateways send summaries", senders)
 	}
 }
+
+// TestNewWorkIsNotBatched answers the pattern of a burst of short prompts before hundreds
+// of gateways: new work must reach the gateways of the failure domain at once, and not by
+// way of the gateway that collects load shares.
+func TestNewWorkIsNotBatched(t *testing.T) {
+	s := newSetup(t)
+	s.addPeers(60, "b", "c", "d")
+	var err error
+	if s.g.udp, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	defer s.g.udp.Close()
+	const peers = 5
+	var sockets []net.PacketConn
+	for i := range peers {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer socket.Close()
+		sockets = append(sockets, socket)
+		s.g.members.mu.Lock()
+		s.g.members.recordGateway(&wirepb.GatewayInfo{
+			Id: fmt.Sprint("a-", i), FailureDomain: "a", Address: socket.LocalAddr().String(), Relays: true, Incarnation: 1,
+		}, bootclock.Now())
+		s.g.members.mu.Unlock()
+	}
+	received := func() (n int) {
+		buf := make([]byte, 4096)
+		for _, socket := range sockets {
+			_ = socket.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+			if _, _, err := socket.ReadFrom(buf); err == nil {
+				n++
+			}
+		}
+		return n
+	}
+	s.g.sendShare(1, true)
+	if n := received(); n != peers {
+		t.Errorf("new work was sent to %d of %d gateways at once", n, peers)
+	}
+	s.g.sendShare(2, false)
+	if n := received(); n > 1 {
+		t.Errorf("progress was sent to %d gateways at once", n)
+	}
+}
