Tell a crash of a backend server from a broken connection in the gateway's log

An attempt that broke off before its response was logged as an unexpected EOF, whether the process of the backend server had ended or only the connection, and without the parts of the prompt, so that the hypotheses on the prompt part that crashes engines could not be told apart. The gateway now connects once after such a break; a refused connection means a crash. The log line has the parts of the prompt, two counters count breaks and crashes. A crash also counts as a refused connection for the next choice.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -353,7 +353,7 @@
 	case a.r.http.Context().Err() != nil || a.r.deadline-now <= responseMargin:
 		return callerGone
 	}
-	a.g.health.record(a.pick.job.backend, outcomeFailed, now)
+	a.handleBroken()
 	return mayHaveRun
 }
 
@@ -409,7 +409,7 @@
 		if a.r.http.Context().Err() != nil || (a.r.deadline-now <= responseMargin && !stall.fired()) {
 			return callerGone
 		}
-		a.g.health.record(a.pick.job.backend, outcomeFailed, now)
+		a.handleBroken()
 		return mayHaveRun
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -22,6 +22,10 @@
 	// LastEvent is the id of the last event that the caller has received, or
 	// empty.
 	LastEvent string
+	// PromptParts are the ids of the parts of the prompt that other requests may
+	// share, in order. The last part of a prompt is the request's own and is left
+	// out.
+	PromptParts []string
 }
 
 // Dispatch holds what a gateway adds to the caller's request when it sends it
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -290,6 +290,13 @@
 	return m.sorted, len(m.gateways) + 1
 }
 
+// backend returns the backend server with an id, or nil.
+func (m *members) backend(id string) *fleet.BackendServer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Get(id)
+}
+
 // count returns the number of live gateways, including this one.
 func (m *members) count() int {
 	m.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -218,6 +218,9 @@
 		return mayHaveRun
 	case a.r.deadline-now <= responseMargin:
 		return callerGone
+	case seen == 0:
+		a.handleBroken()
+		return mayHaveRun
 	}
 	a.g.health.record(a.pick.job.backend, outcomeFailed, now)
 	return mayHaveRun
