--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -31,6 +31,9 @@
 	n, err := strconv.Atoi(r.Header.Get("X-Wait-Ms"))
 	c.WaitFor = milliseconds(int64(n))
 	c.PromptTokens, _ = strconv.ParseInt(r.Header.Get("X-Prompt"), 10, 64)
+	if parts := r.Header.Get("X-Parts"); parts != "" {
+		c.PromptParts = strings.Split(parts, ",")
+	}
 	return c, err
 }
 
@@ -39,6 +42,7 @@
 	if d.LastEvent != "" {
 		h.Set("Last-Event-Id", d.LastEvent)
 	}
+	h["X-Part"] = c.PromptParts
 	for _, helper := range d.Helpers {
 		h.Add("X-Helper", helper.Address+"/"+helper.ReservationID)
 	}
