Quarantine prompt parts and requests that crash backend servers, in gateways

Cause: gateways kept no record of crashes, so that each such request was repeated and the next one placed like any other. The entry processes count crashes by the fingerprint of a whole request, which finds no part that requests share, and gateways never used that.

suspicion.Evidence gets the features (request, parts of its prompt) of all requests that were open at a crash and had not begun to respond. It is a set that gateways exchange in their load shares, so that all come to the same suspects; a response that begins clears the features of its request. Features that occur in the same crashes are quarantined together only, so that requests with one of them show which it is. Requests of a suspect are refused with 503 and the time of the next trial, and those that have not begun to respond are canceled.

Ruled out: counting crashes by request (no two are alike); refusing all parts of a crashed request (sound requests share the first part); counting each broken connection (resets).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,6 +69,9 @@
 	// firstEventSeen is set from the first event on. Other goroutines read it
 	// too.
 	firstEventSeen atomic.Bool
+	// isQuarantined is set when the attempt is canceled because its request is
+	// suspected of crashing backend servers.
+	isQuarantined atomic.Bool
 }
 
 // bufferedResponse is a complete response. One that reports a failure is sent to
@@ -85,6 +88,7 @@
 	g.budget.request(r.service.Name, bootclock.Now())
 	var buffered *bufferedResponse
 	ran := false
+	r.features = r.crashFeatures()
 	var last error
 	for {
 		p, err := g.chooseOrWait(ctx, r)
@@ -134,6 +138,9 @@
 // requests that run there, it waits and chooses again.
 func (g *Gateway) chooseOrWait(ctx context.Context, r *request) (*pick, error) {
 	for {
+		if err := g.checkQuarantine(r); err != nil {
+			return nil, err
+		}
 		p, err := g.choose(r, r.service, r.tried)
 		if !errors.Is(err, errDeferred) {
 			return p, err
@@ -211,6 +218,10 @@
 		return retryAfterTooLarge
 	}
 	mean := backoffMean
+	var quarantine *quarantineError
+	if errors.As(err, &quarantine) {
+		return quarantine.retryAfter
+	}
 	var full *overloadError
 	if errors.As(err, &full) {
 		mean = max(mean, time.Duration(full.untilMs*float64(time.Millisecond)))
@@ -337,6 +348,9 @@
 	case errors.As(err, &notSent):
 		a.sent = 0
 		a.r.attempts--
+		if a.isQuarantined.Load() {
+			return notRun
+		}
 		if a.r.http.Context().Err() != nil {
 			return callerGone
 		}
@@ -347,6 +361,8 @@
 		a.g.recordConnectFailure(a.pick.backend, a.pick.job.sent)
 		a.g.health.record(a.pick.job.backend, o, now)
 		return notRun
+	case a.isQuarantined.Load():
+		return mayHaveRun
 	case stall.fired():
 		a.recordSilence(now)
 		return mayHaveRun
@@ -406,12 +422,16 @@
 	now := bootclock.Now()
 	if err != nil {
 		a.err = err
+		if a.isQuarantined.Load() {
+			return mayHaveRun
+		}
 		if a.r.http.Context().Err() != nil || (a.r.deadline-now <= responseMargin && !stall.fired()) {
 			return callerGone
 		}
 		a.handleBroken()
 		return mayHaveRun
 	}
+	a.g.suspects.recordServed(a.r, now)
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
 		a.g.health.record(a.pick.job.backend, outcomeFailed, now)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -37,6 +37,9 @@
 	a.g.log.Warn("attempt broke off before its response", zap.String("request_id", a.r.caller.ID),
 		zap.String("backend_server", a.pick.backend.ID), zap.Bool("crash", isCrash),
 		zap.Strings("prompt_parts", a.r.caller.PromptParts), zap.Int("open_there", a.pick.open))
+	if isCrash {
+		a.g.recordCrash(a.pick.job.backend, a.r.features, now)
+	}
 }
 
 // backendCrashed reports whether the process of the backend server has ended without an
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -10,15 +11,17 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/wirepb"
 )
 
 // crashFleet is a set of engines each of which ends when it begins to respond to a
 // request with a prompt part named deadly.
-type crashFleet struct {
-	crashes atomic.Int64
-	// deadlyRequests is the number of requests with the part that reached an engine.
-	deadlyRequests atomic.Int64
-}
+type crashFleet struct{ crashes atomic.Int64 }
 
 // addCrashing starts an engine of the fleet and announces it.
 func (s *setup) addCrashing(f *crashFleet, id, domain string) {
@@ -30,7 +33,6 @@
 	server := &http.Server{}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if slices.Contains(r.Header["X-Part"], "deadly") {
-			f.deadlyRequests.Add(1)
 			f.crashes.Add(1)
 			_ = server.Close()
 			return
@@ -86,3 +88,86 @@
 		t.Errorf("status %d, body %q, expected a refusal that says not run and when to come back", status.StatusCode, body)
 	}
 }
+
+// Guards against a request that crashes each backend server and is sent again by its
+// caller, with another id, until none is left.
+func TestRequestThatCrashesBackendServersIsRefused(t *testing.T) {
+	for _, path := range []string{"/stream/same", "/rigid/same"} {
+		s, f := newSetup(t), &crashFleet{}
+		for i := range 12 {
+			s.addCrashing(f, fmt.Sprintf("engine-%d", i), "a")
+		}
+		last := 0
+		for range 10 {
+			if resp, _, err := s.call(path, "X-Prompt", "1000", "X-Parts", "deadly"); err == nil {
+				last = resp.StatusCode
+			}
+			time.Sleep(callSpacing)
+		}
+		if crashes := f.crashes.Load(); crashes > maxCrashes || last != http.StatusServiceUnavailable {
+			t.Errorf("%s: %d engines crashed, expected at most %d; last status %d", path, crashes, maxCrashes, last)
+		}
+	}
+}
+
+// Guards against prompt parts that are suspected because backend servers reset
+// connections without crashing.
+func TestBrokenConnectionsAreNoCrashes(t *testing.T) {
+	s := newSetup(t)
+	for i := range 6 {
+		s.add(fmt.Sprintf("engine-%d", i), "model", "a", drop)
+	}
+	for n := range 6 {
+		if _, _, err := s.call(fmt.Sprintf("/stream/%d", n), "X-Prompt", "1000", "X-Parts", "part"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(callSpacing)
+	}
+	if found := s.g.suspects.evidence.Suspects(); len(found) > 0 {
+		t.Errorf("suspects %v", found)
+	}
+}
+
+// Guards against gateways that let requests of a known kind crash further engines because
+// the crashes were seen by another gateway, and against running ones that are left to
+// crash theirs.
+func TestCrashesSeenElsewhereCancelRunningRequests(t *testing.T) {
+	other := newSetup(t)
+	s := newSetup(t)
+	canceled := make(chan struct{})
+	s.add("engine-1", "model", "a", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection only after the body
+		<-r.Context().Done()
+		close(canceled)
+	})
+	done := make(chan int)
+	go func() { done <- s.deadlyCall(1) }()
+	for other.g.suspects.evidence.Suspects() == nil {
+		r := &request{http: &http.Request{}, service: &manifest.RoutedService{Name: "model"}, caller: CallerRequest{PromptParts: []string{"deadly"}}}
+		r.http.RequestURI = fmt.Sprint(time.Now())
+		other.g.recordCrash(rand.Uint64(), r.crashFeatures(), bootclock.Now())
+		time.Sleep(callSpacing)
+	}
+	data, err := proto.Marshal(&wirepb.LoadShare{Batch: []*wirepb.LoadShare{
+		{Gateway: "gateway-2", Incarnation: 1, Sequence: 1, CrashEvidence: other.g.suspects.evidenceMessage(bootclock.Now())},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	share := &wirepb.LoadShare{}
+	if err := proto.Unmarshal(data, share); err != nil {
+		t.Fatal(err)
+	}
+	s.g.receiveShare(share)
+	select {
+	case <-canceled:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the running request was not canceled")
+	}
+	if status := <-done; status != http.StatusBadGateway {
+		t.Errorf("status %d of a request that may have run, expected %d", status, http.StatusBadGateway)
+	}
+	if status := s.deadlyCall(2); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, expected a refusal", status)
+	}
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -399,3 +400,21 @@
 		return false
 	}
 }
+
+// isTurnOf reports whether this gateway is the first one for a key in the order of a
+// turn that all gateways share.
+func (m *members) isTurnOf(key, turn uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	position := func(id string) uint64 {
+		data := binary.LittleEndian.AppendUint64([]byte(id), key)
+		return xxhash.Sum64(binary.LittleEndian.AppendUint64(data, turn))
+	}
+	self := position(m.g.settings.ID)
+	for id := range m.gateways {
+		if position(id) < self {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -16,6 +16,7 @@
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/manifest"
 	"bilberryhub/internal/observe"
+	"bilberryhub/internal/suspicion"
 )
 
 const (
@@ -55,6 +56,9 @@
 	// deferred.
 	waited   time.Duration
 	attempts int
+	// features is what the request has in common with others that may crash backend
+	// servers.
+	features suspicion.Request
 	// tried holds the ids of the backend servers that were tried, backend the
 	// id of the last one that responded without stating that it has not run
 	// the request.
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -248,7 +248,7 @@
 	now := bootclock.Now()
 	s := &wirepb.LoadShare{
 		Gateway: g.settings.ID, Incarnation: g.incarnation, Sequence: sequence, Verdicts: g.health.verdicts(now),
-		NextWithinMs: uint32(g.shareInterval().Milliseconds()),
+		NextWithinMs: uint32(g.shareInterval().Milliseconds()), CrashEvidence: g.suspects.evidenceMessage(now),
 	}
 	for j := range b.local {
 		if len(s.Running) == maxSharedJobs {
@@ -304,6 +304,7 @@
 	if s.GetRelay() {
 		defer g.relayShare(s)
 	}
+	g.mergeCrashEvidence(s.GetCrashEvidence())
 	if summary := s.GetSummary(); summary != nil {
 		g.mergeSummary(summary)
 		return
@@ -318,13 +319,15 @@
 	for _, part := range s.GetBatch() {
 		if part.GetGateway() != "" && part.GetGateway() != g.settings.ID {
 			sharesReceived.Inc()
+			g.mergeCrashEvidence(part.GetCrashEvidence())
 			g.mergeShare(part)
 		}
 	}
 }
 
 // mergeShare stores a load share from another gateway. It ignores the work in a
-// load share that is not newer than the stored one of the same incarnation.
+// load share that is not newer than the stored one of the same incarnation, or that has
+// no sequence.
 func (g *Gateway) mergeShare(s *wirepb.LoadShare) {
 	now := bootclock.Now()
 	if domain := g.members.recordContact(s.GetGateway(), now); domain != "" {
@@ -339,7 +342,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.others[s.GetGateway()]
-	if old != nil && old.incarnation == s.GetIncarnation() && old.sequence >= s.GetSequence() {
+	if s.GetSequence() == 0 || (old != nil && old.incarnation == s.GetIncarnation() && old.sequence >= s.GetSequence()) {
 		return
 	}
 	received := &share{incarnation: s.GetIncarnation(), sequence: s.GetSequence(), at: now, lifetime: shareLifetime(milliseconds(int64(s.GetNextWithinMs())))}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -161,6 +161,7 @@
 	seenMs := ms(now - a.pick.job.sent)
 	a.firstMs = seenMs
 	a.firstEventSeen.Store(true)
+	a.g.suspects.recordServed(a.r, now)
 	if a.pick.slowness > 0 {
 		a.g.health.recordFirstEvent(a.pick.job.backend, a.pick.predictedMs/a.pick.slowness, seenMs, now)
 	}
@@ -211,6 +212,8 @@
 	}
 	a.err = errors.Annotatef(err, "stream of %s after %d events", a.pick.backend.ID, seen)
 	switch {
+	case a.isQuarantined.Load() && seen == 0:
+		return mayHaveRun
 	case a.r.http.Context().Err() != nil:
 		return callerGone
 	case stall.fired():
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -65,7 +65,9 @@
 			continue
 		}
 		_, relays := g.members.shareTargets(nil)
-		g.sendShareTo(&wirepb.LoadShare{Relay: true, Summary: g.summary(sequence)}, relays)
+		g.sendShareTo(&wirepb.LoadShare{
+			Relay: true, Summary: g.summary(sequence), CrashEvidence: g.suspects.evidenceMessage(bootclock.Now()),
+		}, relays)
 		summariesSent.Inc()
 	}
 }
