Quarantine beginnings of prompts that crash backend servers, in dispatchers

The same fault as in the gateways: entry processes count crashes by the fingerprint of a whole request, so that requests which differ but share the beginning of their prompt crash one backend server after the other. The dispatcher now gives suspicion.Evidence the prefix hashes of the requests that had not begun to respond; the broadcast of a crash carries them to the other dispatchers (an older process ignores the field). Refused as request_suspected.

State dumps of both kinds of processes list the suspects.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -109,6 +109,9 @@
 	// in flight.
 	ended    map[string]endedDispatch
 	suspects *suspicion.Table
+	// evidence finds beginnings of prompts that crash backend servers under requests that
+	// differ otherwise.
+	evidence *suspicion.Evidence
 	// runningByFingerprint lists the granted dispatches of each fingerprint.
 	runningByFingerprint map[string][]*dispatch
 	lastArrivalSeq       uint64
@@ -144,6 +147,7 @@
 		dispatches:           map[string]*dispatch{},
 		ended:                map[string]endedDispatch{},
 		suspects:             suspicion.New(),
+		evidence:             suspicion.NewEvidence(),
 		runningByFingerprint: map[string][]*dispatch{},
 	}
 }
@@ -210,6 +214,7 @@
 	c.nextCleanup = c.now + cleanupInterval
 	c.expireEnded()
 	c.suspects.Expire(c.now)
+	c.evidence.Expire(c.now)
 	for _, p := range c.sortedPools {
 		p.queue.expireAccounts(c.now)
 	}
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -24,6 +24,7 @@
 	}
 	took = c.sinceGrant(d, took)
 	d.state, d.ttft = statePrefilled, took
+	c.evidence.RecordServed(c.now, features(d.req.Fingerprint, d.req.PrefixHashes))
 	for _, m := range d.members {
 		defer m.backend.touch()
 		m.backend.removePending(d)
@@ -62,5 +63,6 @@
 	if fp := string(d.req.Fingerprint); fp != "" {
 		c.suspects.RecordCompletion(c.now, fp)
 	}
+	c.evidence.RecordServed(c.now, features(d.req.Fingerprint, d.req.PrefixHashes))
 	c.freeDispatch(d, true)
 }
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -221,6 +221,9 @@
 // after another copy of the request would have been granted.
 func (c *Core) recordCrash(d *dispatch, m *wirepb.Progress) {
 	c.suspects.RecordCrash(c.now, string(d.req.Fingerprint), suspicion.Crash{Backend: m.Backend, Boot: m.Boot}, d.suspectAtGrant)
+	if d.state < statePrefilled {
+		c.recordEvidence(m.Backend, m.Boot, features(d.req.Fingerprint, d.req.PrefixHashes))
+	}
 	for _, mb := range d.members {
 		if mb.backend.id == m.Backend && mb.backend.boot == m.Boot {
 			mb.backend.down, mb.backend.downAt = true, c.now
@@ -293,6 +296,9 @@
 		return
 	}
 	c.suspects.RecordCrash(c.now, fp, suspicion.Crash{Backend: m.Backend, Boot: m.Boot}, m.Sole)
+	if len(m.PrefixHashes) > 0 {
+		c.recordEvidence(m.Backend, m.Boot, features(m.Fingerprint, m.PrefixHashes))
+	}
 	for _, p := range c.sortedPools {
 		for _, b := range p.sortedBackends {
 			if b.id == m.Backend && b.boot == m.Boot {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -83,7 +83,7 @@
 		}
 	}
 	if left, quarantined := c.quarantined(d); quarantined {
-		return refusal.New(refusal.RequestSuspected, "two backend servers crashed running this request").WithRetryAfter(left)
+		return quarantineRefusal(left)
 	}
 	d.suspect = c.isSuspected(d)
 	if !c.policy.queues() {
@@ -176,7 +176,7 @@
 		left, quarantined := c.quarantined(d)
 		switch {
 		case quarantined:
-			c.refuse(d, refusal.New(refusal.RequestSuspected, "two backend servers crashed running this request").WithRetryAfter(left))
+			c.refuse(d, quarantineRefusal(left))
 		case c.now >= d.deadline:
 			c.refuse(d, refusal.New(refusal.DeadlineExceeded, "the deadline passed in the queue"))
 		case !serve:
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -87,6 +87,8 @@
 	ConfigAgeMS int64             `json:"config_age_ms"`
 	Pools       []PoolDump        `json:"pools"`
 	Suspects    []suspicion.Entry `json:"suspects"`
+	// CommonSuspects are the beginnings of prompts and the requests that explain crashes.
+	CommonSuspects []suspicion.Suspect `json:"common_suspects"`
 }
 
 // PoolDump is the state of one pool.
@@ -145,7 +147,7 @@
 	c.advance(now)
 	out := Dump{
 		Entry: c.cfg.Entry, Incarnation: c.cfg.Incarnation, Releasing: c.releasing,
-		ConfigAgeMS: (c.configAge + c.now - c.configAgeAt).Milliseconds(), Suspects: c.suspects.Dump(c.now),
+		ConfigAgeMS: (c.configAge + c.now - c.configAgeAt).Milliseconds(), Suspects: c.suspects.Dump(c.now), CommonSuspects: c.evidence.Suspects(),
 	}
 	for _, p := range c.sortedPools {
 		d := PoolDump{
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -1,9 +1,13 @@
 package dispatch
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bilberryhub/internal/refusal"
+	"bilberryhub/internal/suspicion"
 )
 
 // Suspected reports whether a fingerprint is under suspicion of crashing backend
@@ -17,13 +21,43 @@
 	return !c.disabled.suspicion && len(d.req.Fingerprint) > 0 && c.suspects.IsSuspected(string(d.req.Fingerprint))
 }
 
-// quarantined reports whether a request is refused because of its crashes, and for how
-// much longer.
+// quarantined reports whether a request is refused because of the crashes under it or
+// under requests whose prompts begin like its own, and for how much longer.
 func (c *Core) quarantined(d *dispatch) (time.Duration, bool) {
 	if c.disabled.suspicion {
 		return 0, false
 	}
-	return c.suspects.Quarantined(c.now, string(d.req.Fingerprint))
+	if left, ok := c.suspects.Quarantined(c.now, string(d.req.Fingerprint)); ok {
+		return left, true
+	}
+	if d.isTrial {
+		return 0, false
+	}
+	return c.evidence.Quarantined(c.now, features(d.req.Fingerprint, d.req.PrefixHashes), func(_, _ uint64) bool {
+		d.isTrial = true
+		return true
+	})
+}
+
+func quarantineRefusal(left time.Duration) *refusal.Error {
+	return refusal.New(refusal.RequestSuspected, "backend servers crashed running this request or ones that begin like it").WithRetryAfter(left)
+}
+
+// features returns what a request has in common with others that may crash backend
+// servers: repeats of itself, and the beginnings of its prompt.
+func features(fingerprint []byte, prefixes []uint64) suspicion.Request {
+	r := suspicion.Request{Self: suspicion.Feature(xxhash.Sum64(fingerprint))}
+	for _, hash := range prefixes {
+		r.Parts = append(r.Parts, suspicion.Feature(hash))
+	}
+	return r
+}
+
+// recordEvidence records the crash of a backend server on which a request had not begun
+// to respond.
+func (c *Core) recordEvidence(backend string, boot uint64, r suspicion.Request) {
+	lifetime := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(backend), boot))
+	c.evidence.RecordCrash(c.now, lifetime, append([]suspicion.Feature{r.Self}, r.Parts...)...)
 }
 
 // addRunning adds a granted dispatch to those of its fingerprint.
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -135,6 +135,7 @@
 	ttftTarget     time.Duration // target for the time to first token
 	long           bool          // belongs to the class of long prefills
 	suspect        bool          // was under suspicion when it arrived
+	isTrial        bool          // runs although it is quarantined, to find out whether it still crashes
 	suspectAtGrant bool          // was under suspicion when it was granted; attributes a crash to it alone
 	entryLost      bool          // the entry process has terminated or restarted
 	pastDeadline   bool          // the deadline had passed at an earlier tick
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -228,7 +228,11 @@
 // if r was already suspected at its start. It was the only suspect on the backend
 // server then, and the crash is attributed to it alone.
 func (s *Server) broadcastCrash(r *request, m *wirepb.GrantMember, sole bool) {
-	s.broadcastSuspect(&wirepb.Suspect{Fingerprint: r.fingerprint[:], Backend: m.GetBackend(), Boot: m.GetBoot(), Sole: sole})
+	crash := &wirepb.Suspect{Fingerprint: r.fingerprint[:], Backend: m.GetBackend(), Boot: m.GetBoot(), Sole: sole}
+	if r.model != nil {
+		crash.PrefixHashes = r.model.prefix // nil once a response has begun
+	}
+	s.broadcastSuspect(crash)
 }
 
 // broadcastSuspect applies m in this process, sends it to all live peers and waits
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -24,6 +24,6 @@
 	return map[string]any{
 		"id": g.settings.ID, "failure_domain": g.settings.FailureDomain, "incarnation": g.incarnation,
 		"ready": g.notReadyReason() == "", "open_requests": g.open.Load(), "gateways": gateways,
-		"backend_servers": servers, "jobs": jobs, "config": g.sync.Status(),
+		"backend_servers": servers, "jobs": jobs, "config": g.sync.Status(), "suspects": g.suspects.list(),
 	}, nil
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -86,6 +87,13 @@
 	s.evidence.RecordServed(now, r.features)
 }
 
+// list returns a copy of the suspects, for the state dump.
+func (s *suspects) list() []suspicion.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.evidence.Suspects())
+}
+
 func (s *suspects) expire(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/suspicion/evidence.go
+++ b/internal/suspicion/evidence.go
@@ -52,10 +52,10 @@
 // Suspect is a set of features that all requests have which crash backend servers.
 type Suspect struct {
 	// Features are sorted.
-	Features []Feature
+	Features []Feature `json:"features"`
 	// Crashes is the number of crashes, where simultaneous ones count once.
-	Crashes   int
-	LastCrash time.Duration
+	Crashes   int           `json:"crashes"`
+	LastCrash time.Duration `json:"last_crash_ns"`
 }
 
 // Key returns a hash of the features.
