--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -56,6 +56,11 @@
 	// NotRun is set if the backend server states that it hasn't run the
 	// request and won't run it.
 	NotRun bool
+	// RequestLimit is the number of requests in a second that the backend server
+	// takes from all gateways together, if HasRequestLimit is set. It is in force
+	// until a response states none.
+	RequestLimit    float64
+	HasRequestLimit bool
 	// FailedBackend is the id or address of another backend server that caused
 	// the failure; empty if none is stated.
 	FailedBackend string
