--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -52,7 +52,8 @@
 func (testDialect) IsResponseTo(h http.Header, id string) bool { return h.Get("X-Id") == id }
 
 func (testDialect) DecodeResponse(_ int, h http.Header) ResponseInfo {
-	return ResponseInfo{NotRun: h.Get("X-Not-Run") != ""}
+	limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
+	return ResponseInfo{NotRun: h.Get("X-Not-Run") != "", RequestLimit: limit, HasRequestLimit: err == nil}
 }
 
 func (testDialect) ResponseHeader(h http.Header) http.Header { return h.Clone() }
