Keep to the request limits of backend servers, all gateways together

What operators saw: a backend server that named a limit of 1.9 requests a second in its responses got 23 to 26 requests within 4 s. Cause: the gateways did not read the limit. Class: a limit for all senders that no sender, or each sender alone, keeps to.

Package requestlimit divides the rate: the time since the limit was first named has slots of 1 s, whose permits belong to gateways in an order that changes with the slot and end with it. Gateways exchange limits in their load shares and at once when one changes, so that all know the same beginning; no message is needed for a request. A limit ends with the first response that names none.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -275,10 +275,7 @@
 	defer response.Close()
 	g.recordContact(a.pick.backend.FailureDomain)
 	info := g.dialect.DecodeResponse(response.Status, response.Header)
-	if info.HasRequestLimit {
-		g.log.Info("backend server names a limit", zap.String("backend_server", a.pick.backend.ID), zap.Float64("per_second", info.RequestLimit),
-			zap.String("request_id", r.caller.ID))
-	}
+	a.recordLimit(info)
 	if info.NotRun {
 		return a.handleRefusal(response, info)
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -24,6 +24,7 @@
 	errTooLarge  = errors.New("no backend server can hold the request")
 	errDeferred  = errors.New("a later moment costs others less")
 	errFull      = errors.New("no backend server has memory for the request now")
+	errLimited   = errors.New("the backend servers take no more requests now")
 )
 
 // overloadError is returned if all backend servers are busy for longer than the
@@ -101,6 +102,9 @@
 	key       uint64
 	condition backendCondition
 	works     []enginemodel.Work
+	// spare is set if the backend server should be used only if others are busy,
+	// because it has named a limit.
+	spare bool
 }
 
 // choose chooses a backend server for a request and adds the request's work to
@@ -118,6 +122,7 @@
 	now := bootclock.Now()
 	works := g.workTable.works(now)
 	var list, unreachable []candidate
+	refused := errNoBackend
 	for _, b := range servers {
 		if b.Service != service.Name || !b.Usable() || slices.Contains(excluded, b.ID) {
 			continue
@@ -134,6 +139,11 @@
 		if c.condition.dead {
 			continue
 		}
+		var allowed bool
+		if c.spare, allowed = g.allowsRequest(key, now); !allowed {
+			refused = errLimited
+			continue
+		}
 		if isLocalDetail && b.FailureDomain != g.settings.FailureDomain {
 			c.works = g.workTable.remoteWorks(b.FailureDomain, key, c.works, now)
 		}
@@ -147,7 +157,7 @@
 		list = unreachable
 	}
 	if len(list) == 0 {
-		return nil, errNoBackend
+		return nil, refused
 	}
 	if isLocalDetail && service.Engine != nil {
 		list = sampleRemote(list, g.settings.FailureDomain)
@@ -163,6 +173,7 @@
 		return nil, errors.Trace(err)
 	}
 	p.candidates = len(list)
+	g.takePermit(p.job.backend, now)
 	g.workTable.add(p.job)
 	g.workTable.usedDomains[p.backend.FailureDomain] = now
 	for i, h := range p.helperJobs {
@@ -207,7 +218,7 @@
 		if c.server.FailureDomain != g.settings.FailureDomain {
 			score += 0.1 / slots
 		}
-		if now < c.server.ColdUntil {
+		if now < c.server.ColdUntil || c.spare {
 			score += 0.5
 		}
 		if score < cost {
@@ -231,7 +242,7 @@
 			Index: i, Slots: max(1, c.server.Slots), Remote: c.server.FailureDomain != g.settings.FailureDomain,
 			Rank: orderPosition(c.key),
 			Load: enginemodel.NewLoad(spec, c.works, ms(now), c.condition.slowness),
-			Risk: c.condition.failureShare * req.Value, Cold: now < c.server.ColdUntil,
+			Risk: c.condition.failureShare * req.Value, Cold: now < c.server.ColdUntil || c.spare,
 		}
 		if c.condition.avoid {
 			e.Risk = max(e.Risk, avoidRisk*req.Value)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	budget       *budget
 	reachability *reachability
 	suspects     *suspects
+	limits       *limits
 	exchanges    *exchange.Pool
 	udp          *net.UDPConn
 	callers      *http.Server
@@ -108,7 +109,7 @@
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
 		settings: s, dialect: d, log: log, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
-		callerConns: newCallerConns(), budget: newBudget(s), reachability: newReachability(), suspects: newSuspects(), exchanges: exchange.NewPool(maxIdleConns),
+		callerConns: newCallerConns(), budget: newBudget(s), reachability: newReachability(), suspects: newSuspects(), limits: newLimits(), exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.members = newMembers(g)
@@ -240,6 +241,7 @@
 		g.members.sweep()
 		g.exchanges.Sweep()
 		g.suspects.expire(bootclock.Now())
+		g.limits.expire(bootclock.Now())
 		servers, _ := g.members.backends()
 		keys := make(map[uint64]bool, len(servers))
 		for _, b := range servers {
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -17,6 +17,7 @@
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/fleetclient"
 	"bilberryhub/internal/fleetfeed"
+	"bilberryhub/internal/requestlimit"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
@@ -401,6 +402,19 @@
 	}
 }
 
+// sender returns the position of this gateway in an order that all gateways share.
+func (m *members) sender() requestlimit.Sender {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := requestlimit.Sender{Count: len(m.gateways) + 1}
+	for id := range m.gateways {
+		if id < m.g.settings.ID {
+			s.Position++
+		}
+	}
+	return s
+}
+
 // isTurnOf reports whether this gateway is the first one for a key in the order of a
 // turn that all gateways share.
 func (m *members) isTurnOf(key, turn uint64) bool {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -126,6 +126,18 @@
 	}
 }
 
+// sendToAll sends a message without work to the gateways of all failure domains at once.
+func (g *Gateway) sendToAll(s *wirepb.LoadShare) {
+	if g.udp == nil {
+		return // before Start
+	}
+	s.Gateway, s.Incarnation = g.settings.ID, g.incarnation
+	direct, relays := g.members.shareTargets(nil)
+	g.sendShareTo(s, direct)
+	s.Relay = true
+	g.sendShareTo(s, relays)
+}
+
 // sendShareTo sends one datagram to each of the addresses. Those that can't be sent are
 // counted; the next load share makes up for them.
 func (g *Gateway) sendShareTo(s *wirepb.LoadShare, addresses []netip.AddrPort) {
@@ -249,6 +261,7 @@
 	s := &wirepb.LoadShare{
 		Gateway: g.settings.ID, Incarnation: g.incarnation, Sequence: sequence, Verdicts: g.health.verdicts(now),
 		NextWithinMs: uint32(g.shareInterval().Milliseconds()), CrashEvidence: g.suspects.evidenceMessage(now),
+		RequestLimits: g.limits.message(now),
 	}
 	for j := range b.local {
 		if len(s.Running) == maxSharedJobs {
@@ -305,6 +318,7 @@
 		defer g.relayShare(s)
 	}
 	g.mergeCrashEvidence(s.GetCrashEvidence())
+	g.mergeLimits(s.GetRequestLimits())
 	if summary := s.GetSummary(); summary != nil {
 		g.mergeSummary(summary)
 		return
@@ -320,6 +334,7 @@
 		if part.GetGateway() != "" && part.GetGateway() != g.settings.ID {
 			sharesReceived.Inc()
 			g.mergeCrashEvidence(part.GetCrashEvidence())
+			g.mergeLimits(part.GetRequestLimits())
 			g.mergeShare(part)
 		}
 	}
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -65,8 +65,10 @@
 			continue
 		}
 		_, relays := g.members.shareTargets(nil)
+		now := bootclock.Now()
 		g.sendShareTo(&wirepb.LoadShare{
-			Relay: true, Summary: g.summary(sequence), CrashEvidence: g.suspects.evidenceMessage(bootclock.Now()),
+			Relay: true, Summary: g.summary(sequence),
+			CrashEvidence: g.suspects.evidenceMessage(now), RequestLimits: g.limits.message(now),
 		}, relays)
 		summariesSent.Inc()
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -107,16 +107,7 @@
 	g.suspects.evidence.RecordCrash(at, backend, append([]suspicion.Feature{r.Self}, r.Parts...)...)
 	g.suspects.mu.Unlock()
 	g.startQuarantines()
-	if g.udp == nil {
-		return
-	}
-	s := &wirepb.LoadShare{
-		Gateway: g.settings.ID, Incarnation: g.incarnation, CrashEvidence: g.suspects.evidenceMessage(bootclock.Now()),
-	}
-	direct, relays := g.members.shareTargets(nil)
-	g.sendShareTo(s, direct)
-	s.Relay = true
-	g.sendShareTo(s, relays)
+	g.sendToAll(&wirepb.LoadShare{CrashEvidence: g.suspects.evidenceMessage(bootclock.Now())})
 }
 
 // evidenceMessage returns what the other gateways should know of crashes, or nil if that
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -95,8 +95,8 @@
 	// Risk is the expected loss of value at an engine that is suspected to be
 	// unhealthy.
 	Risk float64
-	// Cold is set while the engine is cold and can take only a few requests. A
-	// cold engine is not used as a helper.
+	// Cold is set while the engine is cold, or has named a limit, and can take only a
+	// few requests. It is not used as a helper then.
 	Cold bool
 }
 
