--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -128,3 +129,31 @@
 		t.Errorf("%d requests within %s after the limit was lifted, expected half of the load", n, window/2)
 	}
 }
+
+// Guards against requests that are held, or that count as run, while all backend servers
+// have taken as many requests as they name.
+func TestRequestsBeyondAllLimitsAreRefused(t *testing.T) {
+	s := newSetup(t)
+	s.add("limited", "plain", "a", (&limitedServer{limit: "2"}).ServeHTTP)
+	served, refused := 0, 0
+	for i := range 20 {
+		begin := time.Now()
+		resp, body, err := s.call(fmt.Sprintf("/safe/%d", i))
+		switch {
+		case err != nil:
+			t.Fatal(err)
+		case resp.StatusCode == http.StatusOK:
+			served++
+		case resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(body, `"run":"no"`) && resp.Header.Get("Retry-After") != "":
+			refused++
+		default:
+			t.Errorf("status %d, body %q", resp.StatusCode, body)
+		}
+		if took := time.Since(begin); took > 500*time.Millisecond {
+			t.Errorf("took %s", took)
+		}
+	}
+	if served == 0 || refused < 10 {
+		t.Errorf("%d served and %d refused of 20 at once, with 2 a second", served, refused)
+	}
+}
