Contain malformed datagrams between gateways

A summary that states 2^32 running requests made a gateway allocate for each of them: out of memory, at every gateway that the datagram reaches. A panic while a datagram is merged ended the process. Counts of a summary are bounded now, rates of limits that are no numbers are ignored, and a panic ends the datagram only, with a log line and a counter.

--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -51,6 +51,7 @@
 	shareBytesSent = metrics.GetOrCreateCounter(`bilberry_gateway_share_bytes_sent_total`)
 	sharesRelayed  = metrics.GetOrCreateCounter(`bilberry_gateway_shares_relayed_total`)
 	sharesReceived = metrics.GetOrCreateCounter(`bilberry_gateway_shares_received_total`)
+	sharePanics    = metrics.GetOrCreateCounter(`bilberry_gateway_share_panics_total`)
 	sharesInvalid  = metrics.GetOrCreateCounter(`bilberry_gateway_shares_bad_total`)
 )
 
@@ -298,14 +299,26 @@
 			time.Sleep(batchDelay)
 			continue
 		}
-		s := &wirepb.LoadShare{}
-		if err := proto.Unmarshal(buf[:n], s); err != nil {
-			sharesInvalid.Inc()
-			g.log.Debug("invalid load share", zap.Int("bytes", n), observe.Error(err))
-			continue
+		g.receiveDatagram(buf[:n])
+	}
+}
+
+// receiveDatagram merges one datagram of another gateway. A panic ends only that: a
+// datagram that one gateway can't merge reaches all of them.
+func (g *Gateway) receiveDatagram(data []byte) {
+	defer func() {
+		if p := recover(); p != nil {
+			sharePanics.Inc()
+			g.log.Error("merging a load share panicked", zap.Any("panic", p), zap.Int("bytes", len(data)), zap.StackSkip("stack", 2))
 		}
-		g.receiveShare(s)
+	}()
+	s := &wirepb.LoadShare{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		sharesInvalid.Inc()
+		g.log.Debug("invalid load share", zap.Int("bytes", len(data)), observe.Error(err))
+		return
 	}
+	g.receiveShare(s)
 }
 
 // receiveShare merges one message of another gateway and relays it if it asks for that.
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -37,6 +37,9 @@
 	remoteSample      = 3
 	remoteSampleAlone = 8
 	minLocalBackends  = 8
+	// maxSummarizedWorks bounds the works that stand for one kind of work in the summary
+	// of a backend server, whatever number the summary states.
+	maxSummarizedWorks = 1024
 	// usedDomainRetention is how long a failure domain gets load shares after the last
 	// work there was sent: they tell that it has ended.
 	usedDomainRetention = 20 * time.Second
@@ -136,14 +139,15 @@
 
 // summarizedWorks returns works that stand for a summary received at the time at.
 func summarizedWorks(s *wirepb.BackendSummary, at time.Duration) []enginemodel.Work {
-	out := make([]enginemodel.Work, 0, s.GetWriting()+s.GetParts())
+	writing, parts := min(s.GetWriting(), maxSummarizedWorks), min(s.GetParts(), maxSummarizedWorks)
+	out := make([]enginemodel.Work, 0, writing+parts)
 	w := enginemodel.Work{
 		PromptTokens: float64(s.GetWritingPromptTokens()), OutputTokens: float64(s.GetWritingOutputTokens()), Decoding: true,
 		DoneMs: ms(at) - float64(s.GetWritingMs()), PauseMs: float64(s.GetPauseMs()),
 	}
 	w.SentMs = w.DoneMs
 	w.Value = estimatedValue(w)
-	for i := range s.GetWriting() {
+	for i := range writing {
 		w.Request = summarizedRequest(s, i)
 		out = append(out, w)
 	}
@@ -153,8 +157,8 @@
 		PauseMs: float64(s.GetPauseMs()), ObjectiveMs: float64(s.GetObjectiveMs()),
 	}
 	w.Value = estimatedValue(w)
-	for i := range s.GetParts() {
-		w.Request, w.Helper = summarizedRequest(s, s.GetWriting()+i), i < s.GetHelperParts()
+	for i := range parts {
+		w.Request, w.Helper = summarizedRequest(s, writing+i), i < s.GetHelperParts()
 		out = append(out, w)
 	}
 	if len(out) > 0 {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -141,26 +141,29 @@
 	if m == nil {
 		return
 	}
-	now := bootclock.Now()
-	isNew := false
-	g.suspects.mu.Lock()
+	if g.suspects.merge(m, bootclock.Now()) || len(m.GetServed()) > 0 {
+		g.startQuarantines()
+	}
+}
+
+// merge records a message of another gateway and reports whether it has new crashes.
+func (s *suspects) merge(m *wirepb.CrashEvidence, now time.Duration) (isNew bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, c := range m.GetCrashes() {
 		features := make([]suspicion.Feature, 0, len(c.GetFeatures()))
 		for _, f := range c.GetFeatures() {
 			features = append(features, suspicion.Feature(f))
 		}
-		if g.suspects.evidence.RecordCrash(now-milliseconds(int64(c.GetAgeMs())), c.GetBackend(), features...) {
+		if s.evidence.RecordCrash(now-milliseconds(int64(c.GetAgeMs())), c.GetBackend(), features...) {
 			crashReportsFound.Inc()
 			isNew = true
 		}
 	}
 	for _, f := range m.GetServed() {
-		g.suspects.evidence.Clear(now-milliseconds(int64(f.GetAgeMs())), suspicion.Feature(f.GetFeature()))
-	}
-	g.suspects.mu.Unlock()
-	if isNew || len(m.GetServed()) > 0 {
-		g.startQuarantines()
+		s.evidence.Clear(now-milliseconds(int64(f.GetAgeMs())), suspicion.Feature(f.GetFeature()))
 	}
+	return isNew
 }
 
 // startQuarantines logs new suspects and cancels the attempts of this gateway that are
--- a/internal/requestlimit/requestlimit.go
+++ b/internal/requestlimit/requestlimit.go
@@ -28,6 +28,8 @@
 	// minPerSecond is the lowest rate. At 0, no response could tell that a limit has
 	// ended.
 	minPerSecond = 0.25
+	// maxPerSecond bounds a rate to what can be counted.
+	maxPerSecond = 1e6
 	// slotLength is the length of a slot. A window may contain one slot more than its
 	// length.
 	slotLength = time.Second
@@ -92,9 +94,13 @@
 }
 
 // Merge records what this or another process knows of a limit. The latest response
-// counts. It reports whether the limit has changed.
+// counts. It reports whether the limit has changed. A rate that is no number of at least
+// 0 is ignored.
 func (t *Table) Merge(l Limit) bool {
-	l.PerSecond = max(minPerSecond, l.PerSecond)
+	if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 1) {
+		return false
+	}
+	l.PerSecond = min(max(minPerSecond, l.PerSecond), maxPerSecond)
 	e := t.limits[l.Backend]
 	if e == nil {
 		t.limits[l.Backend] = &entry{Limit: l}
