Keep calls open until the claimant is killed, however late the kill comes

Cause, supposed before and shown now: the calls started over one second, and the look that triggers the kill came later than that. All conditions of the test stay; the message says when the kill fell.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -373,35 +373,61 @@
 // while the call ran, when the call is resent through other processes and domains
 // (promise 7).
 func killedClaimant(t *testing.T, c *cluster) {
-	const keys = 40
+	const (
+		completed = 20 // calls that complete before the kill
+		spacing   = 50 * time.Millisecond
+	)
 	killed := c.entries[0]
 	key := func(i int) string { return fmt.Sprintf("job-%d", i) }
-	responses := make([][]booking, keys)
+	var responses [][]booking
+	var mu sync.Mutex
 	var wg sync.WaitGroup
 	book := func(i int) {
-		responses[i] = append(responses[i], c.book(killed, key(i), key(i)))
+		list := []booking{c.book(killed, key(i), key(i))}
 		for _, e := range c.entriesExcept(killed) {
-			responses[i] = append(responses[i], c.book(e, key(i), key(i)))
+			list = append(list, c.book(e, key(i), key(i)))
 		}
-	}
-	// The first half of the calls completes before the kill. The starts of the
-	// second half are spread over several times the duration of one call, so that
-	// some calls are open at whatever time the process is killed.
-	for i := range keys / 2 {
+		mu.Lock()
+		defer mu.Unlock()
+		responses[i] = list
+	}
+	start := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		i := len(responses)
+		responses = append(responses, nil)
 		wg.Go(func() { book(i) })
 	}
-	wg.Wait()
-	for i := keys / 2; i < keys; i++ {
-		wg.Go(func() {
-			time.Sleep(time.Duration(i-keys/2) * 50 * time.Millisecond)
-			book(i)
-		})
+	for range completed {
+		start()
 	}
-	c.within(conditionTimeout, "a call of the second half runs", func() bool { return len(c.effectCounts()) > keys/2 })
-	if err := killed.kill(); err != nil {
+	wg.Wait()
+	// Further calls start until the process is killed, at intervals below the duration
+	// of one call, so that some are open then, however late the kill comes.
+	isKilled, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for ticker := time.NewTicker(spacing); ; {
+			start()
+			select {
+			case <-isKilled:
+				ticker.Stop()
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	began := time.Now()
+	c.within(conditionTimeout, "a call of the second half runs", func() bool { return len(c.effectCounts()) > completed })
+	err := killed.kill()
+	killedAfter := time.Since(began)
+	close(isKilled)
+	if err != nil {
 		t.Fatal(err)
 	}
+	<-stopped
 	wg.Wait()
+	keys := len(responses)
 	if err := killed.start(); err != nil {
 		t.Fatal(err)
 	}
@@ -426,9 +452,10 @@
 		}
 	}
 	if interrupted == 0 || interrupted == keys {
-		t.Errorf("%d of %d calls were interrupted; the kill came too late or too early", interrupted, keys)
+		t.Errorf("%d of %d calls were interrupted by a kill %s after the first of %d started", interrupted, keys, killedAfter, keys-completed)
 	}
-	t.Logf("killed claimant: %d of %d calls interrupted, %d had an effect", interrupted, keys, len(effectCounts))
+	t.Logf("killed claimant: %d of %d calls interrupted by a kill %s after the first of %d started, %d had an effect",
+		interrupted, keys, killedAfter, keys-completed, len(effectCounts))
 }
 
 // contradiction compares the responses that callers received for one key with the
