--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,6 +89,8 @@
 	limits       *limits
 	exchanges    *exchange.Pool
 	udp          *net.UDPConn
+	// sendDatagram sends a datagram to another gateway.
+	sendDatagram func(data []byte, to netip.AddrPort) error
 	callers      *http.Server
 	// callerListener is the listener of callers, and callerConns its connections.
 	callerListener net.Listener
@@ -111,6 +114,10 @@
 		settings: s, dialect: d, log: log, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
 		callerConns: newCallerConns(), budget: newBudget(s), reachability: newReachability(), suspects: newSuspects(), limits: newLimits(), exchanges: exchange.NewPool(maxIdleConns),
 	}
+	g.sendDatagram = func(data []byte, to netip.AddrPort) error {
+		_, err := g.udp.WriteToUDPAddrPort(data, to)
+		return err
+	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.members = newMembers(g)
 	g.sync = configsync.New(configsync.Options{
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -79,3 +79,12 @@
 	}
 	return data
 }
+
+func decodeShare(t *testing.T, data []byte) *wirepb.LoadShare {
+	t.Helper()
+	s := &wirepb.LoadShare{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -148,7 +148,7 @@
 		return
 	}
 	for _, to := range addresses {
-		if _, err := g.udp.WriteToUDPAddrPort(data, to); err != nil {
+		if err := g.sendDatagram(data, to); err != nil {
 			sharesUnsent.Inc()
 			continue
 		}
