Compute suspects only if a feature may have become or ceased to be one

Features are counted now; without three crashes of one, nothing is computed. The new test counts computations (none for 2,000 responses); it was not run on the code before, which set isStale at each clearing.

--- a/internal/suspicion/evidence.go
+++ b/internal/suspicion/evidence.go
@@ -93,6 +93,8 @@
 type Evidence struct {
 	// crashes holds the crashes by lifetime of the backend server.
 	crashes map[uint64]*crashEvidence
+	// counts holds the number of crashes of each feature.
+	counts map[Feature]int
 	// served holds when a request with a feature last began to respond, in two
 	// generations.
 	served, servedOld map[Feature]time.Duration
@@ -117,7 +119,7 @@
 // NewEvidence returns an Evidence without crashes.
 func NewEvidence() *Evidence {
 	return &Evidence{
-		crashes: map[uint64]*crashEvidence{}, served: map[Feature]time.Duration{}, servedOld: map[Feature]time.Duration{},
+		crashes: map[uint64]*crashEvidence{}, counts: map[Feature]int{}, served: map[Feature]time.Duration{}, servedOld: map[Feature]time.Duration{},
 		cleared: map[Feature]time.Duration{}, announced: map[uint64]bool{}, trials: map[uint64]uint64{},
 	}
 }
@@ -138,10 +140,13 @@
 	for _, f := range features {
 		if f != 0 && !c.features[f] && len(c.features) < maxCrashFeatures && max(e.served[f], e.servedOld[f], e.cleared[f]) <= c.at {
 			c.features[f] = true
+			e.counts[f]++
 			isNew = true
+			if e.counts[f] >= EvidenceCrashes {
+				e.isStale = true
+			}
 		}
 	}
-	e.isStale = e.isStale || isNew
 	return isNew
 }
 
@@ -161,16 +166,33 @@
 func (e *Evidence) Clear(at time.Duration, f Feature) {
 	for _, c := range e.crashes {
 		if c.at < at && c.features[f] {
-			delete(c.features, f)
+			e.remove(c, f)
 			if len(e.cleared) >= maxServed {
 				clear(e.cleared)
 			}
 			e.cleared[f] = max(at, e.cleared[f])
-			e.isStale = true
 		}
 	}
 }
 
+// remove removes a feature from a crash.
+func (e *Evidence) remove(c *crashEvidence, f Feature) {
+	delete(c.features, f)
+	if e.counts[f]--; e.counts[f] == 0 {
+		delete(e.counts, f)
+	}
+	// Without suspects, fewer features make none.
+	e.isStale = e.isStale || len(e.suspects) > 0
+}
+
+// drop removes a crash.
+func (e *Evidence) drop(backend uint64) {
+	for f := range e.crashes[backend].features {
+		e.remove(e.crashes[backend], f)
+	}
+	delete(e.crashes, backend)
+}
+
 // Quarantined reports whether a request must not run, and when its caller may come back.
 // After a time without crashes, it lets one request run for a trial in each turn for
 // which isOwner is true. The turns of all processes begin at about the same time.
@@ -217,7 +239,9 @@
 	crashesOf := map[Feature][]uint64{}
 	for _, backend := range slices.Sorted(maps.Keys(e.crashes)) {
 		for f := range e.crashes[backend].features {
-			crashesOf[f] = append(crashesOf[f], backend)
+			if e.counts[f] >= EvidenceCrashes {
+				crashesOf[f] = append(crashesOf[f], backend)
+			}
 		}
 	}
 	var out []Suspect
@@ -275,8 +299,7 @@
 func (e *Evidence) Expire(now time.Duration) {
 	for backend, c := range e.crashes {
 		if now-c.at >= Retention {
-			delete(e.crashes, backend)
-			e.isStale = true
+			e.drop(backend)
 		}
 	}
 	maps.DeleteFunc(e.cleared, func(_ Feature, at time.Duration) bool { return now-at >= Retention })
@@ -297,8 +320,7 @@
 		}
 		return cmp.Compare(e.crashes[a].at, e.crashes[b].at)
 	})
-	delete(e.crashes, oldest)
-	e.isStale = true
+	e.drop(oldest)
 }
 
 // isExplained reports whether a suspect explains a crash.
--- a/internal/suspicion/evidence_test.go
+++ b/internal/suspicion/evidence_test.go
@@ -142,8 +142,8 @@
 		}
 		e.RecordServed(time.Duration(i)*time.Second, Request{Self: 1, Parts: []Feature{Feature(i), Feature(-i)}})
 	}
-	if len(e.crashes) > maxCrashes || len(e.served) > maxServed {
-		t.Errorf("%d crashes and %d innocent features are kept", len(e.crashes), len(e.served))
+	if len(e.crashes) > maxCrashes || len(e.served) > maxServed || len(e.counts) > maxCrashes*maxCrashFeatures {
+		t.Errorf("%d crashes, %d innocent and %d counted features are kept", len(e.crashes), len(e.served), len(e.counts))
 	}
 	for _, c := range e.crashes {
 		if len(c.features) > maxCrashFeatures {
@@ -154,3 +154,32 @@
 		t.Errorf("%d reports", n)
 	}
 }
+
+// Guards against processor time that grows with requests while no feature is suspected:
+// after the loss of many backend servers, each response clears a feature, and each
+// request asks for suspects.
+func TestSuspectsAreComputedOnlyIfTheyMayHaveChanged(t *testing.T) {
+	e := NewEvidence()
+	for i := range 100 {
+		for j := range 40 {
+			e.RecordCrash(time.Duration(i)*time.Second, uint64(i), Feature(1+i*40+j))
+		}
+	}
+	computed := 0
+	for i := range 2000 {
+		e.RecordServed(200*time.Second, Request{Parts: []Feature{Feature(i)}})
+		if e.isStale {
+			computed++
+		}
+		e.Suspects()
+	}
+	if computed > 0 {
+		t.Errorf("suspects were computed %d times", computed)
+	}
+	for i := range 3 {
+		e.RecordCrash(time.Duration(300+i)*time.Second, uint64(1000+i), Feature(1_000_000))
+	}
+	if !e.isStale || len(e.Suspects()) != 1 {
+		t.Errorf("suspects are %v", e.Suspects())
+	}
+}
