--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -49,9 +49,11 @@
 		account = r.account.Name
 	}
 	h := xxhash.New()
-	for _, s := range []string{"request", r.service.Name, r.http.Method, r.http.Host, r.http.RequestURI, account, string(r.body)} {
+	for _, s := range []string{"request", r.service.Name, r.http.Method, r.http.Host, r.http.RequestURI, account} {
+		// The length keeps two fields from running together.
 		_, _ = fmt.Fprintf(h, "%d:%s", len(s), s)
 	}
+	_, _ = h.Write(r.body)
 	out := suspicion.Request{Self: suspicion.Feature(h.Sum64())}
 	for _, part := range r.caller.PromptParts {
 		out.Parts = append(out.Parts, suspicion.Feature(xxhash.Sum64String("part "+r.service.Name+" "+part)))
