--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -45,6 +45,7 @@
 	}
 	detail := fmt.Sprintf(format, args...)
 	reportViolation(name, detail)
+	_ = zap.L().Sync()
 	panic(fmt.Sprintf("invariant %s violated: %s", name, detail))
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 
 	"github.com/juju/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"go.uber.org/zap"
 )
 
 // Load reads the JSON file at path, validates it against the JSON schema and decodes it
@@ -130,8 +131,12 @@
 	CAFile   string `json:"ca_file"`
 }
 
+// failureStatus is the exit status of a process that failed.
+const failureStatus = 1
+
 // Main parses the common flags and calls run, or prints the version if that is
-// requested. It exits with status 1 if run returns an error.
+// requested. If run returns an error, it writes the error to standard error and to the
+// global logger, and exits with status 1.
 func Main(name string, run func(*Flags) error) {
 	flags := Register(flag.CommandLine)
 	flag.Parse()
@@ -141,6 +146,8 @@
 	}
 	if err := run(flags); err != nil {
 		fmt.Fprintln(os.Stderr, name+":", err)
-		os.Exit(1)
+		zap.L().Error("process ends", zap.String("reason", err.Error()), zap.Int("exit_status", failureStatus))
+		_ = zap.L().Sync()
+		os.Exit(failureStatus)
 	}
 }
