Make what a start recovers durable before relying on it

Callers and operators would see acknowledged changes lost or control processes that end at each start. Cause: the log syncs each write before it acknowledges it, but a process that is killed between write and sync leaves a valid frame (or a renamed file) that isn't durable. The next process took it as durable, answered and voted on it, and began a new segment behind it. A loss of power then removed it: the next segment continued a log that ended earlier ("recover data folder: corrupt ... segment continues entry 6, but the log ends at entry 2"), at each start, for good; or acknowledged entries were gone without an error. Class: state read back after an end of the process counts as durable.

Open now syncs the folder and the last segment before anything is appended.

Evidence: the file system of the tests keeps or loses each unsynced write and each unsynced name by itself, ends the process within any operation, also while the log is opened, and loses power later.

--- a/internal/wal/crash_test.go
+++ b/internal/wal/crash_test.go
@@ -94,10 +94,12 @@
 	m.base, m.snap = s.GetIndex(), s
 }
 
-// injectFault makes a later operation of the file system fail, in a quarter of the
-// calls.
+// injectFault makes a later operation of the file system fail, or the process end, in
+// a third of the calls.
 func (m *crashModel) injectFault() {
 	switch m.rng.IntN(12) {
+	case 3:
+		m.fs.operations = 1 + m.rng.IntN(12)
 	case 0:
 		m.fs.failSync = ""
 		m.fs.failSync = []string{"log-", "snapshot-"}[m.rng.IntN(2)]
@@ -108,16 +110,24 @@
 	}
 }
 
-// reopen crashes the file system, opens the log again and compares what it
-// recovers with the acknowledged state.
+// reopen ends the process, with or without a loss of power, opens the log again and
+// compares what it recovers with the acknowledged state. The process may end again
+// while it opens the log.
 func (m *crashModel) reopen(seed uint64, step int) {
-	m.fs.crash(m.rng)
-	m.fs.failSync, m.fs.failSyncDir, m.fs.shortWrite = "", false, -1
-	w, rec, err := Open("data", Options{FS: m.fs, SegmentBytes: 300})
-	if err != nil {
-		m.t.Fatalf("seed %d step %d: acknowledged state is lost: %v", seed, step, err)
+	var rec *Recovered
+	for rec == nil {
+		if m.fs.restart(); m.rng.IntN(2) == 0 {
+			m.fs.losePower(m.rng)
+		}
+		if m.rng.IntN(3) == 0 {
+			m.fs.operations = 1 + m.rng.IntN(12)
+		}
+		var err error
+		m.w, rec, err = Open("data", Options{FS: m.fs, SegmentBytes: 300})
+		if err != nil && m.fs.operations != 0 {
+			m.t.Fatalf("seed %d step %d: acknowledged state is lost: %v", seed, step, err)
+		}
 	}
-	m.w = w
 	if m.pendingSnap != nil && rec.Snapshot.GetIndex() == m.pendingSnap.GetIndex() {
 		m.applySnapshot(m.pendingSnap)
 	}
@@ -145,9 +155,10 @@
 	return true
 }
 
-// TestCrashes guards against the loss of an acknowledged entry, vote or
-// snapshot when the process or machine stops at any point, including after
-// failed syncs and short writes.
+// TestCrashes guards against the loss of an acknowledged entry, vote or snapshot, and
+// against a log that can't be opened any more, when the process ends or the machine
+// loses power at any point, one after the other, also while the log is opened, after
+// failed syncs and after short writes.
 func TestCrashes(t *testing.T) {
 	for seed := *crashSeed; seed < *crashSeed+uint64(*crashRuns); seed++ {
 		m := &crashModel{t: t, rng: rand.New(rand.NewPCG(seed, 0)), fs: newMemFS(), hs: &wirepb.HardState{}, term: 1}
@@ -165,7 +176,7 @@
 			} else {
 				ok = m.append()
 			}
-			if !ok || m.rng.IntN(8) == 0 {
+			if !ok || m.fs.operations == 0 || m.rng.IntN(8) == 0 {
 				m.reopen(seed, step)
 			}
 		}
--- a/internal/wal/faults_test.go
+++ b/internal/wal/faults_test.go
@@ -16,10 +16,9 @@
 
 // faultRun executes the commands of one file in testdata/faults.
 type faultRun struct {
-	t   *testing.T
-	fs  *memFS
-	w   *WAL
-	rng *rand.Rand
+	t  *testing.T
+	fs *memFS
+	w  *WAL
 }
 
 // entries returns entries of one term with the indexes from to to, inclusive.
@@ -59,11 +58,11 @@
 }
 
 func (r *faultRun) run(d *datadriven.TestData) string {
-	var term, from, to, commit, index, offset, bytes uint64
+	var term, from, to, commit, index, offset, bytes, seed uint64
 	var vote, file, kind string
 	for key, p := range map[string]any{
 		"term": &term, "from": &from, "to": &to, "commit": &commit, "vote": &vote, "index": &index,
-		"file": &file, "offset": &offset, "kind": &kind, "bytes": &bytes,
+		"file": &file, "offset": &offset, "kind": &kind, "bytes": &bytes, "seed": &seed,
 	} {
 		d.MaybeScanArgs(r.t, key, p)
 	}
@@ -84,8 +83,11 @@
 		err = r.w.SaveSnapshot(&wirepb.Snapshot{Index: index, Term: term, Data: []byte("state")}, d.Cmd == "install")
 	case "fault":
 		r.inject(kind, file, int(bytes))
-	case "crash":
-		r.fs.crash(r.rng)
+	case "kill":
+		r.fs.restart()
+		return r.open() + "\n"
+	case "lose-power":
+		r.fs.losePower(rand.New(rand.NewPCG(seed, 0)))
 		return r.open() + "\n"
 	case "flip":
 		ino := r.fs.names[filepath.Join("data", file)]
@@ -130,7 +132,7 @@
 // short writes, a full disk, crashes and corrupt files.
 func TestFaults(t *testing.T) {
 	datadriven.Walk(t, "testdata/faults", func(t *testing.T, path string) {
-		r := &faultRun{t: t, fs: newMemFS(), rng: rand.New(rand.NewPCG(1, 2))}
+		r := &faultRun{t: t, fs: newMemFS()}
 		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string { return r.run(d) })
 	})
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -130,8 +130,8 @@
 	return w, rec, nil
 }
 
-// recover reads the data directory, checks it for lost files, truncates a torn
-// tail and starts a new segment.
+// recover reads the data directory, checks it for lost files, makes durable what it
+// has read, and starts a new segment. It truncates a torn tail.
 func (w *WAL) recover() (*Recovered, error) {
 	names, err := w.fs.List(w.dir)
 	if err != nil {
@@ -143,6 +143,10 @@
 			return nil, errors.Annotatef(err, "remove %s", n)
 		}
 	}
+	// The previous process may have ended between the change of a name and its sync.
+	if err := w.fs.SyncDir(w.dir); err != nil {
+		return nil, w.markUnusable(errors.Annotate(err, "sync folder"))
+	}
 	rec := &Recovered{HardState: &wirepb.HardState{}}
 	if rec.Snapshot, err = readSnapshot(w.fs, w.dir, snapshots); err != nil {
 		return nil, errors.Trace(err)
@@ -187,9 +191,13 @@
 	return nil
 }
 
-// prepareAppend truncates a torn tail and prepares the log for appends. A segment
-// with more than its first frame is sealed, so that later corruption of it cannot
-// be mistaken for a torn tail.
+// prepareAppend truncates a torn tail, syncs the last segment and prepares the log for
+// appends. A segment with more than its first frame is sealed, so that later
+// corruption of it cannot be mistaken for a torn tail.
+//
+// The sync is necessary even without a torn tail: a process that was killed between a
+// write and its sync leaves a valid frame that a loss of power would remove, together
+// with everything that follows it.
 func (w *WAL) prepareAppend(r *recovery, rec *Recovered, discardLog bool) error {
 	w.hs, w.snapIndex = proto.CloneOf(rec.HardState), rec.Snapshot.GetIndex()
 	w.last, w.lastTerm = r.replay.last()
@@ -205,9 +213,9 @@
 			if err := f.Truncate(r.tailOffset); err != nil {
 				return errors.Annotate(err, "truncate torn tail")
 			}
-			if err := f.Sync(); err != nil {
-				return w.markUnusable(errors.Annotate(err, "sync after truncation of torn tail"))
-			}
+		}
+		if err := f.Sync(); err != nil {
+			return w.markUnusable(errors.Annotatef(err, "sync %s", segmentName(w.current.sequence)))
 		}
 	}
 	if discardLog {
