Fail over to the state process that was tried least recently

Callers of one gateway were served by a configuration that was over 2 s old after a newer one was acknowledged (CONFIG). The control process to which the gateway subscribed was partitioned from the others; the gateway left it after 1.5 s, as it should, and subscribed to the same one again for 1.5 s more. Cause: the next one was chosen by a counter modulo the length of the list, and the list of control processes with recent messages changes its length, so that the same counter plus one may name the same process. Class: a failover that returns to what has just failed.

The least recently tried process is next now, whatever the list; and one that says that it is behind or has no contact with a leader is left at once while others were not tried since the last confirmation, so that a minority of any size costs one round trip each.

Entry processes use the same code with a fixed list, where the next of the list was another one always; there only the second part changes.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -8,10 +8,10 @@
 //
 // The following bounds hold. A change is published one network delay after the
 // state process has applied it. A subscription to a state process that is silent,
-// behind or not fresh ends after 1.5 s, and the next state process is tried 0.2 s
-// later. With n state processes of which one works, a new subscription therefore
-// takes at most (n-1) * 3.2 s, including the wait for the first heartbeat. A
-// configuration that differs from that of the state process at the same index is
+// behind or not fresh ends after 1.5 s. The state process that was tried least recently
+// is the next, within 0.2 s; if it says that it is behind or not fresh, the others follow
+// at once, each one round trip later. A state process that does not answer at all costs
+// 4 s. A configuration that differs from that of the state process at the same index is
 // detected by its digest and replaced within 1.5 s. Without a usable state process,
 // a newer configuration of a peer arrives within 1 s of the peer's heartbeat. A
 // configuration is never replaced by one with a lower index, and never published if
@@ -26,7 +26,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
@@ -53,6 +52,9 @@
 	// subscribeTimeout replaces unusableTimeout until the first message: a state
 	// process may take as long for the handshakes of many processes.
 	subscribeTimeout = 4 * time.Second
+	// alternativePause is the pause before the next state process is tried if there is
+	// one that was not tried since the last confirmation.
+	alternativePause = 20 * time.Millisecond
 	// retryBase and retryMax bound the pause before the next state process is tried;
 	// see backoff.Backoff.
 	retryBase = 200 * time.Millisecond
@@ -80,8 +82,8 @@
 
 // Options configures a Syncer.
 type Options struct {
-	// EntryID is the id of this process. It selects the state process that is tried
-	// first.
+	// EntryID is the id of this process. It decides in which order the state processes
+	// are tried first.
 	EntryID string
 	// States are the addresses of the state processes.
 	States []string
@@ -176,17 +178,18 @@
 func (s *Syncer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { s.pullLoop(ctx) })
-	// Processes start at different state processes to spread the load.
-	first := xxhash.Sum64String(s.opts.EntryID)
+	r := newRotation(s.opts.EntryID)
 	pause := backoff.Backoff{Base: retryBase, Max: retryMax}
-	for i := first; ctx.Err() == nil; i++ {
-		stateAddresses := s.stateAddresses()
-		if len(stateAddresses) == 0 {
+	for ctx.Err() == nil {
+		addresses := s.stateAddresses()
+		if len(addresses) == 0 {
 			break
 		}
-		address := stateAddresses[i%uint64(len(stateAddresses))]
-		confirmed, err := s.runSubscription(ctx, address)
+		address := r.next(addresses)
+		hasAlternative := r.hasAlternative(addresses)
+		confirmed, err := s.runSubscription(ctx, address, hasAlternative)
 		if confirmed {
+			r.confirm()
 			pause.Reset()
 		}
 		s.mu.Lock()
@@ -196,7 +199,11 @@
 		if ctx.Err() == nil {
 			s.opts.Log.Info("subscription to state process ended", zap.String("address", address), observe.Error(err))
 		}
-		sleep(ctx, pause.Next())
+		if hasAlternative && !confirmed {
+			sleep(ctx, alternativePause)
+		} else {
+			sleep(ctx, pause.Next())
+		}
 	}
 	wg.Wait()
 }
--- a/internal/configsync/follow.go
+++ b/internal/configsync/follow.go
@@ -26,12 +26,17 @@
 	unusableSince  time.Time
 	// confirmed is set if the state process has confirmed the configuration.
 	confirmed bool
+	// hasAlternative is set if another state process was not tried since the last
+	// confirmation.
+	hasAlternative bool
 }
 
 // runSubscription subscribes to the state process at address and processes its
 // messages. It returns an error when the stream breaks or the state process has not
-// been usable for unusableTimeout, and whether the configuration was confirmed.
-func (s *Syncer) runSubscription(ctx context.Context, address string) (confirmed bool, err error) {
+// been usable for unusableTimeout, and whether the configuration was confirmed. With
+// an alternative, it returns an error as soon as the state process says that it is not
+// usable.
+func (s *Syncer) runSubscription(ctx context.Context, address string, hasAlternative bool) (confirmed bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	client, closeClient := s.client(address)
 	defer closeClient()
@@ -39,7 +44,7 @@
 	// Send because the state process does not read.
 	watchdog := time.AfterFunc(subscribeTimeout, cancel)
 	defer watchdog.Stop()
-	sub := &subscription{syncer: s, peer: address}
+	sub := &subscription{syncer: s, peer: address, hasAlternative: hasAlternative}
 	first := sub.nextProbe()
 	stream, err := client.Open(ctx, first)
 	if err != nil {
@@ -130,9 +135,9 @@
 	s.recordState(sub.peer, hb)
 	switch {
 	case hb.GetIndex() < floor:
-		return sub.markUnusable("is behind the known index")
+		return sub.markOutdated("is behind the known index")
 	case !hb.GetFresh():
-		return sub.markUnusable("has no contact with a leader")
+		return sub.markOutdated("has no contact with a leader")
 	case hb.GetIndex() > current.index:
 		s.raiseFloor(hb.GetIndex())
 		return sub.markUnusable("has not sent its configuration")
@@ -148,6 +153,15 @@
 	return nil
 }
 
+// markOutdated records why the state process can't know the configuration in force. It
+// returns an error like markUnusable, and at once if there is an alternative.
+func (sub *subscription) markOutdated(reason string) error {
+	if sub.hasAlternative && !sub.confirmed {
+		return errors.Errorf("%s %s", sub.peer, reason)
+	}
+	return sub.markUnusable(reason)
+}
+
 // markUnusable records why the state process is not usable. It returns an error
 // when the state process has not been usable for unusableTimeout, whatever the
 // reasons in between.
