Erase a data directory so that an interrupted erasure is completed

A control process whose identity was retired empties its data directory and joins anew. The files were removed one by one, the identity first, without a sync: if the process was killed or the machine lost power meanwhile, the rest was a log without an identity, or an identity without a log, and each later start ended with an error ("log exists, but the disk identity is missing"). Class: a change of several files that can be interrupted between them; found by looking for the cause of the crash loops elsewhere.

wal.Erase renames the identity first, which marks the other files as left over; Open completes an erasure.

--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os"
-	"path/filepath"
 	"runtime/debug"
 	"time"
 
@@ -14,6 +12,7 @@
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/stateserver"
+	"bilberryhub/internal/wal"
 	"bilberryhub/internal/wire"
 )
 
@@ -116,7 +115,7 @@
 		}
 		p.log.Warn("replica identity was retired; joining again with an empty data directory", zap.String("replica", retired.ID))
 		_ = p.state.Close()
-		if err := removeContents(p.settings.DataDir); err != nil {
+		if err := wal.Erase(p.settings.DataDir, nil); err != nil {
 			return errors.Trace(err)
 		}
 		p.settings.Bootstrap = false
@@ -139,17 +138,3 @@
 	p.log.Info("stopped", observe.Error(err))
 	return errors.Trace(err)
 }
-
-// removeContents removes all entries of a directory, but not the directory itself.
-func removeContents(dir string) error {
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return errors.Annotatef(err, "list %s", dir)
-	}
-	for _, e := range entries {
-		if err := os.RemoveAll(filepath.Join(dir, e.Name())); err != nil {
-			return errors.Annotatef(err, "remove %s", e.Name())
-		}
-	}
-	return nil
-}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -133,6 +133,9 @@
 // recover reads the data directory, checks it for lost files, makes durable what it
 // has read, and starts a new segment. It truncates a torn tail.
 func (w *WAL) recover() (*Recovered, error) {
+	if err := completeErase(w.dir, w.fs); err != nil {
+		return nil, errors.Annotate(err, "complete an erasure")
+	}
 	names, err := w.fs.List(w.dir)
 	if err != nil {
 		return nil, errors.Annotate(err, "list")
