Wait for space on a full disk instead of ending

Ending frees no space. Class: a condition that passes is treated as the end of the process.

Writes are repeated every 100 ms now; meanwhile the replica is like one with a stalled disk: it neither votes nor acknowledges, a leader loses its lease, and its configuration doesn't count as the newest. A start needs no space unless the folder is empty, and waits then.

TestReplicaWaitsForSpace and TestAllDisksAreFull failed with the write tried once ("the replica with the full disk ended").

--- a/cmd/bilberry-control/main.go
+++ b/cmd/bilberry-control/main.go
@@ -34,9 +34,13 @@
 	// SIGHUP does not reload the settings: they take effect at the next start, except
 	// those that are received from the other processes.
 	signal.Ignore(syscall.SIGHUP)
-	p, err := control.StartProcess(cfg, func(s *control.Service) http.Handler {
+	p, err := control.StartProcess(ctx, cfg, func(s *control.Service) http.Handler {
 		return platform.NewControl(s, cfg.FailureDomains, log)
 	}, log)
+	if errors.Is(err, context.Canceled) {
+		log.Info("stopped before the start was complete", observe.Error(err))
+		return nil
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/cmd/bilberry-state/main.go
+++ b/cmd/bilberry-state/main.go
@@ -3,12 +3,11 @@
 package main
 
 import (
-	"os"
+	"context"
 	"os/signal"
 	"syscall"
 
 	"github.com/juju/errors"
-	"go.uber.org/zap"
 
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/settings"
@@ -27,15 +26,19 @@
 		return errors.Trace(err)
 	}
 	defer func() { _ = log.Sync() }()
-	server, err := stateserver.Start(cfg, stateserver.Options{}, log)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	server, err := stateserver.StartWithSpace(ctx, cfg, stateserver.Options{}, log)
+	if errors.Is(err, context.Canceled) {
+		log.Info("stopped before the start was complete", observe.Error(err))
+		return nil
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	select {
-	case sig := <-stop:
-		log.Info("stopping", zap.Stringer("signal", sig))
+	case <-ctx.Done():
+		log.Info("stopping")
 		return errors.Trace(server.Shutdown())
 	case <-server.Failed():
 		_ = server.Close()
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -48,10 +48,10 @@
 }
 
 // StartProcess starts the state replica and the HTTP server for operators, whose
-// handler newHandler returns.
-func StartProcess(s Settings, newHandler func(*Service) http.Handler, log *zap.Logger) (*Process, error) {
+// handler newHandler returns. It ends early, with an error, only if ctx ends.
+func StartProcess(ctx context.Context, s Settings, newHandler func(*Service) http.Handler, log *zap.Logger) (*Process, error) {
 	p := &Process{settings: s, log: log, service: New(log)}
-	if err := p.startState(); err != nil {
+	if err := p.startState(ctx); err != nil {
 		return nil, errors.Trace(err)
 	}
 	errorLog, err := zap.NewStdLogAt(log, zap.DebugLevel)
@@ -76,12 +76,12 @@
 }
 
 // startState starts the state replica and connects the service to it.
-func (p *Process) startState() error {
+func (p *Process) startState(ctx context.Context) error {
 	set, err := p.settings.State()
 	if err != nil {
 		return errors.Trace(err)
 	}
-	p.state, err = stateserver.Start(set, stateserver.Options{
+	p.state, err = stateserver.StartWithSpace(ctx, set, stateserver.Options{
 		Now: bootclock.Now, Handle: p.service.Handle, ProposeTimeout: proposeTimeout,
 	}, p.log)
 	if err != nil {
@@ -119,7 +119,7 @@
 			return errors.Trace(err)
 		}
 		p.settings.Bootstrap = false
-		if err := p.startState(); err != nil {
+		if err := p.startState(ctx); err != nil {
 			return errors.Trace(err)
 		}
 	}
--- a/internal/stateserver/form.go
+++ b/internal/stateserver/form.go
@@ -210,13 +210,17 @@
 }
 
 // adoptSnapshot makes snap durable and restarts the consensus core from it. While
-// the core has work, nothing is done and the next join round tries again: the term
-// must be durable before the core is replaced.
+// the core has work or the disk is full, nothing is done and the next join round tries
+// again: the term must be durable before the core is replaced.
 func (l *loop) adoptSnapshot(snap *wirepb.Snapshot) {
 	if l.outstanding != nil || l.node.HasReady() {
 		return
 	}
-	if err := l.s.wal.SaveSnapshot(snap, true); err != nil {
+	switch err := l.s.wal.SaveSnapshot(snap, true); {
+	case isDiskFull(err):
+		l.log.Error("first snapshot not written; disk is full", observe.Error(err))
+		return
+	case err != nil:
 		l.err = errors.Annotate(err, "save first snapshot")
 		return
 	}
--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -223,7 +223,7 @@
 		case <-ctx.Done():
 			return
 		case rd := <-l.toPersist:
-			l.done <- l.writeReady(rd)
+			l.done <- l.s.retryWhileDiskFull(ctx, func() error { return l.writeReady(rd) })
 		}
 	}
 }
@@ -232,7 +232,9 @@
 // the persist goroutine.
 func (l *loop) writeReady(rd raft.Ready) error {
 	if rd.Snapshot != nil {
-		if err := l.s.wal.SaveSnapshot(rd.Snapshot, true); err != nil {
+		// It is saved already if the disk had no space for the entries after it.
+		err := l.s.wal.SaveSnapshot(rd.Snapshot, true)
+		if err != nil && !errors.Is(err, wal.ErrSnapshotOutdated) {
 			return errors.Trace(err)
 		}
 	}
@@ -341,10 +343,9 @@
 
 func (m snapshotSaved) handle(l *loop) {
 	l.snapshotting = false
-	var full *wal.DiskFullError
 	switch {
 	case errors.Is(m.err, wal.ErrSnapshotOutdated):
-	case errors.As(m.err, &full):
+	case isDiskFull(m.err):
 		// The log is intact. The snapshot is tried again later, because operators may
 		// free disk space meanwhile.
 		l.minSnapshotIndex = l.applied + l.s.settings.SnapshotEntries/10 + 1
--- a/internal/stateserver/metrics.go
+++ b/internal/stateserver/metrics.go
@@ -27,6 +27,8 @@
 	// replacement of a replica is not complete.
 	learners   *metrics.Gauge
 	joinRounds *metrics.Counter
+	// diskFull is 1 while writes wait for space on the disk.
+	diskFull *metrics.Gauge
 }
 
 // newServerMetrics returns the metrics of the replica with the given name.
@@ -47,6 +49,7 @@
 		leader:        gauge("is_leader"),
 		learners:      gauge("learners"),
 		joinRounds:    metrics.GetOrCreateCounter(label("join_rounds_total")),
+		diskFull:      gauge("disk_full"),
 	}
 }
 
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -105,7 +105,8 @@
 // snap is not a prefix of the log, as with a snapshot that was received from the
 // leader: the log is then discarded, and the caller must not append entries that
 // follow the snapshot before SaveSnapshot has returned. It returns
-// ErrSnapshotOutdated if snap is not newer than the durable snapshot.
+// ErrSnapshotOutdated if snap is not newer than the durable snapshot, and a
+// *DiskFullError if the disk has no space left; the call may then be repeated.
 func (w *WAL) SaveSnapshot(snap *wirepb.Snapshot, install bool) error {
 	w.snapMu.Lock()
 	defer w.snapMu.Unlock()
@@ -133,16 +134,17 @@
 	snapshotBytes.Set(float64(len(b)))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.snapIndex = snap.GetIndex()
 	if install {
-		if err := w.resetLocked(snap.GetIndex(), snap.GetTerm()); err != nil {
-			return errors.Trace(err)
-		}
-	} else if err := w.rotateLocked(); err != nil && !isDiskFull(err) {
-		// On a full disk the current segment stays in use, and the removal of
-		// obsolete files below frees space.
+		err = w.resetLocked(snap.GetIndex(), snap.GetTerm())
+	} else if err = w.rotateLocked(); isDiskFull(err) {
+		// The current segment stays in use, and the removal of obsolete files frees
+		// space.
+		err = nil
+	}
+	if err != nil {
 		return errors.Trace(err)
 	}
+	w.snapIndex = snap.GetIndex()
 	return w.removeObsoleteLocked()
 }
 
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -195,8 +195,8 @@
 }
 
 // prepareAppend truncates a torn tail, syncs the last segment and prepares the log for
-// appends. A segment with more than its first frame is sealed, so that later
-// corruption of it cannot be mistaken for a torn tail.
+// appends. A segment with more than its first frame is sealed if there is space for the
+// next one, so that later corruption of it cannot be mistaken for a torn tail.
 //
 // The sync is necessary even without a torn tail: a process that was killed between a
 // write and its sync leaves a valid frame that a loss of power would remove, together
@@ -224,7 +224,11 @@
 	if discardLog {
 		return w.resetLocked(rec.Snapshot.GetIndex(), rec.Snapshot.GetTerm())
 	}
-	return w.rotateLocked()
+	// On a full disk the last segment stays in use.
+	if err := w.rotateLocked(); err != nil && (w.file == nil || !isDiskFull(err)) {
+		return errors.Trace(err)
+	}
+	return nil
 }
 
 // Err returns the failure that made the log unusable, or nil.
@@ -334,10 +338,14 @@
 	frame := appendFrame(make([]byte, 0, frameHeaderBytes+len(payload)), w.current.sequence, w.offset, payload)
 	name := segmentName(w.current.sequence)
 	if _, err := w.file.Write(frame); err != nil {
-		// Remove the incomplete frame: it must not precede the next one.
+		// Remove the incomplete frame: it must not precede the next one, or come back
+		// after a loss of power when the segment has been sealed.
 		if truncateErr := w.file.Truncate(w.offset); truncateErr != nil {
 			return w.markUnusable(errors.Annotatef(err, "write %s, and truncation of the incomplete frame failed: %v", name, truncateErr))
 		}
+		if syncErr := w.file.Sync(); syncErr != nil {
+			return w.markUnusable(errors.Annotatef(err, "write %s, and sync of the truncation failed: %v", name, syncErr))
+		}
 		return w.writeError(err, name, len(frame))
 	}
 	start := time.Now()
