Count attempts without a race with failovers

A failover, and the watchdog of an attempt, read the number of attempts of a request while its own goroutine changes it, so that a request could be moved beyond its limit of attempts, or not moved. Found by the race detector in a test of lost paths. Each attempt has its number now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,7 +59,9 @@
 	g    *Gateway
 	r    *request
 	pick *pick
-	sent time.Duration
+	// number counts the attempts of the request, from 1.
+	number int
+	sent   time.Duration
 	// buffered is a complete response that reports a failure.
 	buffered *bufferedResponse
 	err      error
@@ -101,7 +103,7 @@
 			}
 			return g.noBackendError(r, err, ran)
 		}
-		a := &attempt{g: g, r: r, pick: p}
+		a := &attempt{g: g, r: r, pick: p, number: r.attempts + 1}
 		result := a.run(ctx)
 		g.workTable.remove(append(p.helperJobs, p.job)...)
 		g.logAttempt(a, result)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,9 +94,10 @@
 	return 0
 }
 
-// canFailOver reports whether another backend server may continue the request.
+// canFailOver reports whether another backend server may continue the request. Other
+// goroutines call it too.
 func (a *attempt) canFailOver(now time.Duration) bool {
-	return a.g.canRetry(a.r, a.r.attempts+1, true) && a.g.budget.allows(a.r.service.Name, a.g.members.count(), now)
+	return a.g.canRetry(a.r, a.number+1, true) && a.g.budget.allows(a.r.service.Name, a.g.members.count(), now)
 }
 
 // firstEventLimit returns how long to wait for the first event; 0 means until
