Connect through other gateways while this one has lost its path to all backend servers

Cause: a gateway had no other path than its own connections, and nothing told a lost path from backend servers that had failed each by itself. Class: a process whose only path is lost, while its peers have one.

reach.Isolation finds it from attempts to connect: two backend servers fail, none succeeds in between. The gateway then asks another one to connect (package peerconn) and sends its requests over these connections; choice, deadline, retries and outcome stay with it.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -93,8 +93,16 @@
 	// Matches reports whether a response with this header belongs to the request.
 	// If it is nil, the first response is accepted.
 	Matches func(http.Header) bool
+	// Dial, if set, makes a new connection for this request only, which isn't kept
+	// afterwards.
+	Dial DialFunc
+	// Dialed, if set, is called with the result of a dial that wasn't canceled.
+	Dialed func(err error)
 }
 
+// DialFunc connects to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Response is the response of a backend server. The caller reads Body and calls
 // Close, which returns the connection to the pool if the body was read to its
 // end.
@@ -120,6 +128,8 @@
 	r       *bufio.Reader
 	// expires is the time from which on an idle connection must not be used.
 	expires time.Time
+	// isSingleUse is set if the connection must not be kept after the response.
+	isSingleUse bool
 	// written is closed when the write of the request has ended; writeErr is set
 	// before.
 	written  chan struct{}
@@ -130,6 +140,8 @@
 type Pool struct {
 	// MaxIdle bounds the number of idle connections to one address.
 	MaxIdle int
+	// Dial makes new connections.
+	Dial DialFunc
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -137,7 +149,16 @@
 
 // NewPool returns an empty pool that keeps up to maxIdle idle connections to each
 // address.
-func NewPool(maxIdle int) *Pool { return &Pool{MaxIdle: maxIdle, idle: map[string][]*conn{}} }
+func NewPool(maxIdle int) *Pool {
+	return &Pool{MaxIdle: maxIdle, Dial: dial, idle: map[string][]*conn{}}
+}
+
+// dial connects over TCP. It returns an error after dialTimeout.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return wire.Dialer().DialContext(ctx, "tcp", address)
+}
 
 // Do sends r and returns the response once its header was read. Cancelling ctx
 // closes the connection, also while the body is read. The error is a *NotSentError
@@ -160,19 +181,26 @@
 
 // connect returns an idle connection or dials a new one.
 func (p *Pool) connect(ctx context.Context, r Request) (*conn, error) {
-	if !r.NewConnection {
+	if !r.NewConnection && r.Dial == nil {
 		if c := p.takeIdle(r.Address); c != nil {
 			return c, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	connectionsDialed.Inc()
-	nc, err := wire.Dialer().DialContext(ctx, "tcp", r.Address)
+	dial := p.Dial
+	if r.Dial != nil {
+		dial = r.Dial
+	}
+	nc, err := dial(ctx, r.Address)
+	if r.Dialed != nil && (err == nil || ctx.Err() == nil) {
+		r.Dialed(err)
+	}
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc, r.Address), nil
+	c := newConn(nc, r.Address)
+	c.isSingleUse = r.Dial != nil
+	return c, nil
 }
 
 func newConn(nc net.Conn, address string) *conn {
@@ -453,6 +481,9 @@
 		// request.
 		return false
 	}
+	if resp.conn.isSingleUse {
+		return false
+	}
 	hasFraming := resp.parsed.ContentLength >= 0 || isChunked(resp.parsed)
 	return resp.conn.writeErr == nil && hasFraming && !resp.parsed.Close && resp.conn.r.Buffered() == 0
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,6 +71,10 @@
 	// firstEventSeen is set from the first event on. Other goroutines read it
 	// too.
 	firstEventSeen atomic.Bool
+	// isDirect is set while the attempt uses an own connection of this gateway, and
+	// receivedAt is when something was last received, in ns. Other goroutines read them.
+	isDirect   atomic.Bool
+	receivedAt atomic.Int64
 	// isQuarantined is set when the attempt is canceled because its request is
 	// suspected of crashing backend servers.
 	isQuarantined atomic.Bool
@@ -265,16 +269,19 @@
 	}
 	a.sent = now
 	r.attempts++
-	response, err := g.exchanges.Do(ctx, exchange.Request{
-		Address: a.pick.backend.Address, Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
+	a.isDirect.Store(!g.isolation.isIsolated())
+	response, isDirect, err := g.send(ctx, a.pick.backend, exchange.Request{
+		Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
 		Header: g.dialect.EncodeDispatch(r.http, r.caller, a.dispatch(remaining)), Body: r.body,
 		NewConnection: !r.route.Idempotent(),
 		Matches:       func(h http.Header) bool { return g.dialect.IsResponseTo(h, r.caller.ID) },
 	})
+	a.isDirect.Store(isDirect)
 	if err != nil {
 		return a.handleError(err, stall)
 	}
 	defer response.Close()
+	a.recordReceived(bootclock.Now())
 	g.recordContact(a.pick.backend.FailureDomain)
 	info := g.dialect.DecodeResponse(response.Status, response.Header)
 	a.recordLimit(info)
@@ -361,8 +368,12 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			o = outcomeDead
 		}
-		a.g.recordConnectFailure(a.pick.backend, a.pick.job.sent)
-		a.g.health.record(a.pick.job.backend, o, now)
+		if a.isDirect.Load() {
+			a.g.recordConnectFailure(a.pick.backend, a.pick.job.sent)
+		}
+		if !saysNothing(err) {
+			a.blame(o, now)
+		}
 		return notRun
 	case a.isQuarantined.Load():
 		return mayHaveRun
@@ -384,9 +395,26 @@
 	if now-a.g.health.lastReceived(a.pick.job.backend) < now-a.sent {
 		o = outcomeFailed
 	}
+	a.blame(o, now)
+}
+
+// blame records a failure of the backend server, unless the own connection of this
+// gateway is at fault.
+func (a *attempt) blame(o outcome, now time.Duration) {
+	if a.isDirect.Load() && a.g.isolation.isIsolated() {
+		return
+	}
 	a.g.health.record(a.pick.job.backend, o, now)
 }
 
+// recordReceived records that the backend server has sent something.
+func (a *attempt) recordReceived(now time.Duration) {
+	a.receivedAt.Store(int64(now))
+	if a.isDirect.Load() {
+		a.g.isolation.recordReceived(now)
+	}
+}
+
 // handleRefusal handles a response which states that the request hasn't run.
 func (a *attempt) handleRefusal(response *exchange.Response, info ResponseInfo) attemptResult {
 	_, err := response.ReadAll(maxResponseBytes)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"context"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
@@ -33,7 +30,7 @@
 		o = outcomeDead
 		confirmedCrashes.Inc()
 	}
-	a.g.health.record(a.pick.job.backend, o, now)
+	a.blame(o, now)
 	a.g.log.Warn("attempt broke off before its response", zap.String("request_id", a.r.caller.ID),
 		zap.String("backend_server", a.pick.backend.ID), zap.Bool("crash", isCrash),
 		zap.Strings("prompt_parts", a.r.caller.PromptParts), zap.Int("open_there", a.pick.open))
@@ -48,7 +45,5 @@
 	if b := a.g.members.backend(a.pick.backend.ID); b == nil || b.Key() != a.pick.job.backend || !b.Usable() {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(a.g.ctx, crashProbeTimeout)
-	defer cancel()
-	return errors.Is(a.g.exchanges.Probe(ctx, a.pick.backend.Address), syscall.ECONNREFUSED)
+	return a.g.refusesConnections(a.g.ctx, a.pick.backend)
 }
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -25,6 +25,6 @@
 		"id": g.settings.ID, "failure_domain": g.settings.FailureDomain, "incarnation": g.incarnation,
 		"ready": g.notReadyReason() == "", "open_requests": g.open.Load(), "gateways": gateways,
 		"backend_servers": servers, "jobs": jobs, "config": g.sync.Status(), "suspects": g.suspects.list(),
-		"request_limits": g.limits.list(),
+		"request_limits": g.limits.list(), "isolated": g.isolation.isIsolated(), "connections_for_peers": g.connects.Open(),
 	}, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"bilberryhub/internal/configsync"
 	"bilberryhub/internal/exchange"
 	"bilberryhub/internal/observe"
+	"bilberryhub/internal/peerconn"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
@@ -85,10 +86,14 @@
 	health       *health
 	budget       *budget
 	reachability *reachability
-	suspects     *suspects
-	limits       *limits
-	exchanges    *exchange.Pool
-	udp          *net.UDPConn
+	isolation    *isolation
+	// connects serves gateways that are isolated, at peerServer.
+	connects   *peerconn.Server
+	peerServer *wire.Server
+	suspects   *suspects
+	limits     *limits
+	exchanges  *exchange.Pool
+	udp        *net.UDPConn
 	// sendDatagram sends a datagram to another gateway.
 	sendDatagram func(data []byte, to netip.AddrPort) error
 	callers      *http.Server
@@ -112,7 +117,7 @@
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
 		settings: s, dialect: d, log: log, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
-		callerConns: newCallerConns(), budget: newBudget(s), reachability: newReachability(), suspects: newSuspects(), limits: newLimits(), exchanges: exchange.NewPool(maxIdleConns),
+		callerConns: newCallerConns(), budget: newBudget(s), reachability: newReachability(), isolation: newIsolation(), suspects: newSuspects(), limits: newLimits(), exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.sendDatagram = func(data []byte, to netip.AddrPort) error {
 		_, err := g.udp.WriteToUDPAddrPort(data, to)
@@ -120,6 +125,7 @@
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.members = newMembers(g)
+	g.connects = g.newPeerServer()
 	g.sync = configsync.New(configsync.Options{
 		EntryID: s.ID, StatesNow: g.states, Clients: g.members.clients, Log: log, Now: bootclock.Time,
 	})
@@ -145,7 +151,7 @@
 func (g *Gateway) info() *wirepb.GatewayInfo {
 	return &wirepb.GatewayInfo{
 		Id: g.settings.ID, Address: g.settings.ShareListen, FailureDomain: g.settings.FailureDomain, Incarnation: g.incarnation,
-		Relays: true,
+		Relays: true, Connects: true,
 	}
 }
 
@@ -162,6 +168,11 @@
 	if g.udp, err = net.ListenUDP("udp", addr); err != nil {
 		return errors.Annotatef(err, "listen for shares on %s", g.settings.ShareListen)
 	}
+	peerOpts := g.wireOptions()
+	peerOpts.IsPeer = g.members.isGateway
+	if g.peerServer, err = wire.Serve(g.settings.ShareListen, peerOpts, g.servePeer, g.log); err != nil {
+		return errors.Trace(err)
+	}
 	g.admin = observe.NewAdmin(g.dump)
 	if err := g.admin.Serve(g.settings.AdminListen); err != nil {
 		return errors.Trace(err)
@@ -173,6 +184,7 @@
 	g.wg.Go(g.receiveShares)
 	g.wg.Go(func() { g.sweep(g.ctx) })
 	g.wg.Go(func() { g.probeLoop(g.ctx) })
+	g.wg.Go(func() { g.probeInDoubt(g.ctx) })
 	return g.listen()
 }
 
@@ -282,6 +294,9 @@
 	defer cancel()
 	_ = g.callerListener.Close()
 	err := g.callerConns.drain(ctx, g.callers)
+	for g.connects.Open() > 0 && sleep(ctx, drainPollInterval) {
+		// Requests of isolated gateways end first.
+	}
 	g.log.Info("stopped", zap.Int64("open_requests", g.open.Load()), observe.Error(err))
 	g.Close()
 	return nil
@@ -293,6 +308,7 @@
 	_ = g.callers.Close()
 	_ = g.ready.Close()
 	_ = g.udp.Close()
+	_ = g.peerServer.Close()
 	_ = g.admin.Close()
 	g.members.clients.Close()
 	g.wg.Wait()
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -155,6 +155,18 @@
 	}
 }
 
+// forgive drops the failures of backend servers that were last unreachable at since or
+// later: the path to them was at fault.
+func (h *health) forgive(since time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.backends {
+		if p.failedAt >= since {
+			p.failed, p.avoidUntil, p.avoidFor, p.deadAt = 0, 0, 0, 0
+		}
+	}
+}
+
 // decay reduces the weight of past outcomes by the time since the last call.
 func (p *backendHealth) decay(now time.Duration) {
 	if p.decayedAt > 0 {
--- /dev/null
+++ b/internal/gateway/isolation.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/fleet"
+	"bilberryhub/internal/observe"
+	"bilberryhub/internal/reach"
+)
+
+const (
+	// doubtCheckInterval is the time between two checks for a lost path while connections
+	// fail. busyCheckInterval replaces it while requests run, and idleCheckInterval while
+	// there are none.
+	doubtCheckInterval = 100 * time.Millisecond
+	busyCheckInterval  = 300 * time.Millisecond
+	idleCheckInterval  = time.Second
+	// crashConfirmTimeout bounds the confirmation of a crash by another gateway.
+	crashConfirmTimeout = 300 * time.Millisecond
+)
+
+var isolations = metrics.GetOrCreateCounter(`bilberry_gateway_isolated_total`)
+
+// isolation tracks whether this gateway can connect to backend servers itself.
+type isolation struct {
+	mu    sync.Mutex
+	state reach.Isolation
+	// failed is signaled when a connection has failed.
+	failed chan struct{}
+}
+
+func newIsolation() *isolation { return &isolation{failed: make(chan struct{}, 1)} }
+
+// wait waits for d or until a connection fails. It is false if ctx ends before.
+func (i *isolation) wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-i.failed:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+func (i *isolation) isIsolated() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.IsIsolated()
+}
+
+// isInDoubt reports whether connections fail.
+func (i *isolation) isInDoubt() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.IsInDoubt()
+}
+
+// usesOwnConnection decides whether a request is sent on an own connection.
+func (i *isolation) usesOwnConnection(now time.Duration, random float64) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.UsesOwnConnection(now, random)
+}
+
+// recordReceived records that something was received on an own connection.
+func (i *isolation) recordReceived(now time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.state.RecordReceived(now)
+}
+
+// takeProbe reports whether a backend server should be probed now.
+func (i *isolation) takeProbe(waitingSince, now time.Duration) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.TakeProbe(waitingSince, now)
+}
+
+// recordDial records the result of an attempt of this gateway to connect to a backend
+// server, which began at started.
+func (g *Gateway) recordDial(b *fleet.BackendServer, started time.Duration, err error) {
+	servers, _ := g.members.backends()
+	count := max(1, len(servers))
+	now := bootclock.Now()
+	g.isolation.mu.Lock()
+	state := &g.isolation.state
+	var isolated, restored bool
+	if err != nil {
+		isolated = state.RecordFailure(b.Key(), count, started, now)
+		signal(g.isolation.failed)
+	} else {
+		restored = state.RecordConnected(b.Key(), count, now)
+	}
+	since := state.Since()
+	g.isolation.mu.Unlock()
+	switch {
+	case isolated:
+		g.beginIsolation(since, b, err)
+	case restored:
+		signal(g.workTable.added)
+		g.log.Info("backend servers can be connected to again", zap.Duration("isolated", now-since), zap.String("backend_server", b.ID))
+	}
+}
+
+// beginIsolation moves what depends on own connections to those of other gateways, and
+// drops the blame that backend servers got meanwhile.
+func (g *Gateway) beginIsolation(since time.Duration, b *fleet.BackendServer, err error) {
+	isolations.Inc()
+	g.health.forgive(since)
+	servers, _ := g.members.backends()
+	for _, server := range servers {
+		g.exchanges.Drop(server.Address)
+	}
+	moved := g.moveSilentAttempts(since)
+	// The other gateways must not ask this one to connect.
+	signal(g.workTable.added)
+	g.log.Warn("no backend server can be connected to; other gateways connect", zap.String("backend_server", b.ID),
+		observe.Error(err), zap.Duration("since", bootclock.Now()-since), zap.Int("attempts_moved", moved))
+}
+
+// moveSilentAttempts ends the attempts on own connections that received nothing since a
+// time, so that they continue elsewhere while their callers still wait. Connections that
+// live on are left alone. It returns the number of attempts ended.
+func (g *Gateway) moveSilentAttempts(since time.Duration) int {
+	now := bootclock.Now()
+	g.reachability.mu.Lock()
+	defer g.reachability.mu.Unlock()
+	moved := 0
+	for a, w := range g.reachability.attempts {
+		if a.isDirect.Load() && time.Duration(a.receivedAt.Load()) < since && a.canFailOver(now) {
+			w.fire()
+			moved++
+		}
+	}
+	return moved
+}
+
+// waitingSince returns when the first of the attempts began that use an own connection,
+// or 0 if there is none.
+func (r *reachability) waitingSince() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := time.Duration(0)
+	for a := range r.attempts {
+		if a.isDirect.Load() && (first == 0 || a.pick.job.sent < first) {
+			first = a.pick.job.sent
+		}
+	}
+	return first
+}
+
+// probeInDoubt connects to backend servers while it is in doubt whether this gateway can,
+// until ctx ends.
+func (g *Gateway) probeInDoubt(ctx context.Context) {
+	for g.isolation.wait(ctx, g.doubtCheckInterval()) {
+		if !g.isolation.takeProbe(g.reachability.waitingSince(), bootclock.Now()) {
+			continue
+		}
+		if b := g.doubtTarget(); b != nil {
+			g.wg.Go(func() { g.probeOne(ctx, b) })
+		}
+	}
+}
+
+// doubtCheckInterval returns the time until the next check for a lost path.
+func (g *Gateway) doubtCheckInterval() time.Duration {
+	switch {
+	case g.isolation.isInDoubt():
+		return doubtCheckInterval
+	case g.open.Load() > 0:
+		return busyCheckInterval
+	}
+	return idleCheckInterval
+}
+
+// doubtTarget returns the backend server to probe, or nil if there is none.
+func (g *Gateway) doubtTarget() *fleet.BackendServer {
+	servers, _ := g.members.backends()
+	var keys []uint64
+	byKey := map[uint64]*fleet.BackendServer{}
+	for _, b := range servers {
+		if b.Usable() {
+			keys = append(keys, b.Key())
+			byKey[b.Key()] = b
+		}
+	}
+	g.isolation.mu.Lock()
+	defer g.isolation.mu.Unlock()
+	key, _ := g.isolation.state.NextTarget(keys, g.random())
+	return byKey[key]
+}
+
+// refusesConnections reports whether a backend server refuses connections, according to
+// another gateway as well if there is one that can tell: on a lost path, connections may
+// be refused too.
+func (g *Gateway) refusesConnections(ctx context.Context, b *fleet.BackendServer) bool {
+	if !g.isolation.isIsolated() && !g.refusesOwnConnection(ctx, b) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashConfirmTimeout)
+	defer cancel()
+	conn, err := g.dialThroughPeer(ctx, b)
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return false
+	case saysNothing(err):
+		return !g.isolation.isIsolated()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// refusesOwnConnection reports whether a backend server refuses a connection of this
+// gateway.
+func (g *Gateway) refusesOwnConnection(ctx context.Context, b *fleet.BackendServer) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	started := bootclock.Now()
+	err := g.exchanges.Probe(ctx, b.Address)
+	if err == nil || ctx.Err() == nil {
+		g.recordDial(b, started, err)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// dialedByPeer records a connection that this gateway made for another one.
+func (g *Gateway) dialedByPeer(b *fleet.BackendServer, err error) {
+	if b != nil && err == nil {
+		g.recordDial(b, bootclock.Now(), nil)
+	}
+}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -66,6 +66,10 @@
 	seenAt time.Duration
 	// listedBy are the addresses of the state processes at which it is subscribed.
 	listedBy []string
+	// isolated is set if it said last that it can connect to no backend server. It is not
+	// asked to connect before avoidUntil.
+	isolated   bool
+	avoidUntil time.Duration
 }
 
 // unlist records that the gateway is not subscribed at a state process any more.
@@ -232,9 +236,9 @@
 	return entry, isNew
 }
 
-// recordContact records a datagram from a gateway and returns the gateway's
-// failure domain, or an empty string for an unknown gateway.
-func (m *members) recordContact(id string, now time.Duration) (domain string) {
+// recordContact records a datagram from a gateway, and whether it is isolated, and
+// returns the gateway's failure domain, or an empty string for an unknown gateway.
+func (m *members) recordContact(id string, isolated bool, now time.Duration) (domain string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	entry := m.gateways[id]
@@ -242,6 +246,7 @@
 		return ""
 	}
 	entry.seenAt = max(entry.seenAt, now)
+	entry.isolated = isolated
 	return entry.info.GetFailureDomain()
 }
 
--- /dev/null
+++ b/internal/gateway/peerconn.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/exchange"
+	"bilberryhub/internal/fleet"
+	"bilberryhub/internal/observe"
+	"bilberryhub/internal/peerconn"
+	"bilberryhub/internal/wire"
+	"bilberryhub/internal/wirepb"
+)
+
+const (
+	// maxPeersTried is the number of gateways that are asked to connect for one request.
+	maxPeersTried = 3
+	// peerAvoidTime is how long a gateway that couldn't help is not asked again.
+	peerAvoidTime = time.Second
+)
+
+var (
+	peerConnections = metrics.GetOrCreateCounter(`bilberry_gateway_peer_connections_total{result="connected"}`)
+	peerFailures    = metrics.GetOrCreateCounter(`bilberry_gateway_peer_connections_total{result="failed"}`)
+)
+
+var errNoPeer = errors.New("no other gateway can connect")
+
+// send sends a request to a backend server, on an own connection or through another
+// gateway.
+func (g *Gateway) send(ctx context.Context, b *fleet.BackendServer, r exchange.Request) (response *exchange.Response, isDirect bool, err error) {
+	now := bootclock.Now()
+	r.Address = b.Address
+	if isDirect = g.isolation.usesOwnConnection(now, g.random()); isDirect {
+		r.Dialed = func(err error) { g.recordDial(b, now, err) }
+	} else {
+		r.Dial = func(ctx context.Context, _ string) (net.Conn, error) { return g.dialThroughPeer(ctx, b) }
+	}
+	response, err = g.exchanges.Do(ctx, r)
+	return response, isDirect, err
+}
+
+// dialThroughPeer connects to a backend server through another gateway; see saysNothing
+// for its errors.
+func (g *Gateway) dialThroughPeer(ctx context.Context, b *fleet.BackendServer) (net.Conn, error) {
+	err := errNoPeer
+	for _, p := range g.members.connectingGateways(b.FailureDomain, maxPeersTried) {
+		var conn net.Conn
+		conn, err = peerconn.Dial(ctx, g.ctx, g.members.clients.Get(p.address), peerconn.Target{ID: b.ID, Address: b.Address})
+		if err == nil {
+			peerConnections.Inc()
+			return conn, nil
+		}
+		peerFailures.Inc()
+		if !saysNothing(err) || ctx.Err() != nil {
+			return nil, err
+		}
+		g.members.avoidGateway(p.id, bootclock.Now()+peerAvoidTime)
+		g.log.Info("gateway couldn't connect for this one", zap.String("gateway", p.id), zap.String("backend_server", b.ID), observe.Error(err))
+	}
+	return nil, err
+}
+
+// saysNothing reports whether a failed connection says nothing about the backend server.
+func saysNothing(err error) bool {
+	var peerErr *peerconn.PeerError
+	return errors.As(err, &peerErr) || errors.Is(err, errNoPeer)
+}
+
+// newPeerServer returns the server that connects for other gateways.
+func (g *Gateway) newPeerServer() *peerconn.Server {
+	return &peerconn.Server{
+		Allows: g.allowsConnect,
+		Dial:   func(ctx context.Context, address string) (net.Conn, error) { return g.exchanges.Dial(ctx, address) },
+		Dialed: func(target peerconn.Target, err error) { g.dialedByPeer(g.members.backend(target.ID), err) },
+	}
+}
+
+// servePeer serves a call of another gateway.
+func (g *Gateway) servePeer(ctx context.Context, st *wire.Stream, req *wirepb.Envelope) error {
+	connect := req.GetConnect()
+	if connect == nil {
+		return errors.Errorf("call %T is not served by a gateway", req.GetBody())
+	}
+	return g.connects.Serve(ctx, st, connect)
+}
+
+// allowsConnect returns why another process gets no connection to a target, or nil.
+func (g *Gateway) allowsConnect(peer wire.Peer, target peerconn.Target) error {
+	b := g.members.backend(target.ID)
+	switch {
+	case g.stopping.Load():
+		return errors.New("stopping")
+	case g.isolation.isIsolated():
+		return errors.New("isolated as well")
+	case !g.members.isGatewayID(peer.ID):
+		return errors.Errorf("%s is no known gateway", peer.ID)
+	case b == nil || b.Address != target.Address || b.Gone:
+		return errors.Errorf("%s at %s is no known backend server", target.ID, target.Address)
+	}
+	return nil
+}
+
+// connectingGateway is a gateway that may be asked to connect.
+type connectingGateway struct{ id, address string }
+
+// connectingGateways returns up to most gateways that may be asked to connect to a
+// backend server in a failure domain, in random order, those of that domain first: the
+// path of the bytes is no longer than without them.
+func (m *members) connectingGateways(domain string, most int) []connectingGateway {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := bootclock.Now()
+	var near, far []connectingGateway
+	for id, entry := range m.gateways {
+		if !entry.info.GetConnects() || entry.isolated || now < entry.avoidUntil {
+			continue
+		}
+		c := connectingGateway{id, entry.info.GetAddress()}
+		if entry.info.GetFailureDomain() == domain {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	for _, list := range [][]connectingGateway{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	list := slices.Concat(near, far)
+	return list[:min(most, len(list))]
+}
+
+// avoidGateway keeps a gateway from being asked to connect for some time.
+func (m *members) avoidGateway(id string, until time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if entry := m.gateways[id]; entry != nil {
+		entry.avoidUntil = until
+	}
+}
+
+// isGatewayID reports whether a gateway is known.
+func (m *members) isGatewayID(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.gateways[id] != nil
+}
+
+// isGateway reports whether a gateway with an IP address is known.
+func (m *members) isGateway(ip string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, entry := range m.gateways {
+		if entry.address.IsValid() && entry.address.Addr().String() == ip {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -180,6 +180,9 @@
 	tried := bootclock.Now()
 	probesSent.Inc()
 	err := g.exchanges.Probe(ctx, b.Address)
+	if ctx.Err() == nil {
+		g.recordDial(b, tried, err)
+	}
 	switch {
 	case err == nil:
 		g.recordContact(b.FailureDomain)
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -108,8 +108,8 @@
 func (g *Gateway) callHolder(ctx context.Context, res reservation, target string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	response, err := g.exchanges.Do(ctx, exchange.Request{
-		Address: res.holder.Address, Method: http.MethodPost, Target: target, Host: res.holder.Address,
+	response, _, err := g.send(ctx, res.holder, exchange.Request{
+		Method: http.MethodPost, Target: target, Host: res.holder.Address,
 		Header: g.dialect.ReservationHeader(res.holder.ID), Body: body,
 		// The response states no request, so that on a reused connection a late copy
 		// of an earlier response would be taken for it.
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -262,7 +262,7 @@
 	s := &wirepb.LoadShare{
 		Gateway: g.settings.ID, Incarnation: g.incarnation, Sequence: sequence, Verdicts: g.health.verdicts(now),
 		NextWithinMs: uint32(g.shareInterval().Milliseconds()), CrashEvidence: g.suspects.evidenceMessage(now),
-		RequestLimits: g.limits.message(now),
+		RequestLimits: g.limits.message(now), Isolated: g.isolation.isIsolated(),
 	}
 	for j := range b.local {
 		if len(s.Running) == maxSharedJobs {
@@ -358,7 +358,7 @@
 // no sequence.
 func (g *Gateway) mergeShare(s *wirepb.LoadShare) {
 	now := bootclock.Now()
-	if domain := g.members.recordContact(s.GetGateway(), now); domain != "" {
+	if domain := g.members.recordContact(s.GetGateway(), s.GetIsolated(), now); domain != "" {
 		g.recordContact(domain)
 		// In another failure domain the network path to a backend server
 		// differs.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -139,6 +139,7 @@
 		}
 		now := bootclock.Now()
 		a.g.health.recordReceived(a.pick.job.backend, now)
+		a.recordReceived(now)
 		a.g.recordContact(a.pick.backend.FailureDomain)
 		if seen++; seen == 1 {
 			a.firstEvent(now)
@@ -226,7 +227,7 @@
 		a.handleBroken()
 		return mayHaveRun
 	}
-	a.g.health.record(a.pick.job.backend, outcomeFailed, now)
+	a.blame(outcomeFailed, now)
 	return mayHaveRun
 }
 
--- a/internal/gateway/worktable.go
+++ b/internal/gateway/worktable.go
@@ -30,7 +30,7 @@
 	summaries map[string]*summary
 	// usedDomains holds when work was last sent to each failure domain.
 	usedDomains map[string]time.Duration
-	// added is signaled when local work was added, progressed when some of it
+	// added is signaled when local work was added or a load share is due at once, progressed when some of it
 	// had its first event or ended. The other gateways may receive progress a
 	// little later.
 	added, progressed chan struct{}
--- /dev/null
+++ b/internal/peerconn/peerconn.go
@@ -0,0 +1,219 @@
+// Package peerconn connects to backend servers through another process of the same
+// kind, for a process that has lost its own path to them.
+//
+// The peer opens a connection to the backend server and passes bytes on in both
+// directions, with the back pressure of both sides; it neither parses nor keeps them. The
+// request, its deadline, its retries and its outcome stay with the process that asks, so
+// that a connection that was not made proves that nothing was sent. The peer connects
+// directly or not at all, so that there is never a second hop. The package chooses
+// neither peers nor backend servers.
+package peerconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"bilberryhub/internal/wire"
+	"bilberryhub/internal/wirepb"
+)
+
+const (
+	// MaxConnections bounds the connections that a process holds for its peers. Each
+	// takes two descriptors and two buffers.
+	MaxConnections = 512
+	// dialTimeout bounds the dial of the peer, and callTimeout the whole call, with a
+	// session to be opened.
+	dialTimeout = 300 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
+	// bufferBytes is the size of the buffer of each direction.
+	bufferBytes = 8 << 10
+)
+
+// Codes of failed Connect calls.
+const (
+	codeRefused     = "refused"
+	codeUnreachable = "unreachable"
+	codeUnavailable = "unavailable"
+)
+
+var (
+	accepted   = metrics.GetOrCreateCounter(`bilberry_peer_connections_accepted_total`)
+	refused    = metrics.GetOrCreateCounter(`bilberry_peer_connections_refused_total`)
+	bytesMoved = metrics.GetOrCreateCounter(`bilberry_peer_connection_bytes_total`)
+)
+
+// PeerError reports that a peer could not help, which says nothing about the backend
+// server. Nothing was sent. It doesn't wrap its cause, as a peer that refuses connections
+// would look like a backend server that does.
+type PeerError struct {
+	Peer string
+	Err  error
+}
+
+func (e *PeerError) Error() string { return "connect through " + e.Peer + ": " + e.Err.Error() }
+
+// Target is a backend server.
+type Target struct{ ID, Address string }
+
+// Dial connects to a backend server through the peer that client calls, until ctx ends
+// or a timeout passes. The connection outlives ctx, but not lifetime. The error is a
+// *PeerError, or states that the peer couldn't connect: it then wraps
+// syscall.ECONNREFUSED if the backend server refuses connections.
+func Dial(ctx, lifetime context.Context, client *wire.Client, target Target) (net.Conn, error) {
+	callCtx, cancel := context.WithCancel(lifetime)
+	// The stream ends with callCtx, so the limits of the call must not end it later.
+	stop := context.AfterFunc(ctx, cancel)
+	timer := time.AfterFunc(callTimeout, cancel)
+	conn, err := call(callCtx, client, target)
+	inTime := timer.Stop()
+	if !stop() || !inTime {
+		if err == nil {
+			_ = conn.Close()
+		}
+		cancel()
+		return nil, &PeerError{Peer: client.Address(), Err: context.DeadlineExceeded}
+	}
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return closingConn{conn, cancel}, nil
+}
+
+// closingConn cancels its context when it is closed.
+type closingConn struct {
+	net.Conn
+	cancel func()
+}
+
+func (c closingConn) Close() error {
+	defer c.cancel()
+	return c.Conn.Close()
+}
+
+// call makes the Connect call.
+func call(ctx context.Context, client *wire.Client, target Target) (net.Conn, error) {
+	st, err := client.Open(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Connect{
+		Connect: &wirepb.Connect{BackendServer: target.ID, Address: target.Address},
+	}})
+	if err != nil {
+		return nil, &PeerError{Peer: client.Address(), Err: err}
+	}
+	reply, err := st.Recv()
+	failure := reply.GetFailure()
+	switch {
+	case err != nil:
+		err = &PeerError{Peer: client.Address(), Err: err}
+	case failure.GetCode() == codeRefused:
+		err = errors.Annotatef(syscall.ECONNREFUSED, "connect to %s through %s", target.Address, client.Address())
+	case failure.GetCode() == codeUnreachable:
+		err = errors.Errorf("connect to %s through %s: %s", target.Address, client.Address(), failure.GetMessage())
+	case failure != nil:
+		err = &PeerError{Peer: client.Address(), Err: errors.New(failure.GetMessage())}
+	case reply.GetAck() == nil:
+		err = &PeerError{Peer: client.Address(), Err: errors.Errorf("unexpected reply %T", reply.GetBody())}
+	}
+	if err != nil {
+		_ = st.Close()
+		return nil, err
+	}
+	return st.Conn(), nil
+}
+
+// Server serves Connect calls of peers.
+type Server struct {
+	// Allows returns why a call of a peer for a target is refused, or nil. A process must
+	// not connect strangers, or to addresses that are none of a backend server.
+	Allows func(peer wire.Peer, target Target) error
+	// Dial connects to an address.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Dialed, if set, is called with the result of each dial.
+	Dialed func(target Target, err error)
+
+	open atomic.Int64
+}
+
+// Open returns the number of open connections.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Serve serves one Connect call: it connects and passes bytes on until one side closes
+// its connection or ctx ends.
+func (s *Server) Serve(ctx context.Context, st *wire.Stream, req *wirepb.Connect) error {
+	defer s.open.Add(-1)
+	target := Target{ID: req.GetBackendServer(), Address: req.GetAddress()}
+	if s.open.Add(1) > MaxConnections {
+		return s.refuse(st, codeUnavailable, errors.Errorf("%d connections for peers are open", MaxConnections))
+	}
+	if err := s.Allows(st.Peer(), target); err != nil {
+		return s.refuse(st, codeUnavailable, err)
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	conn, err := s.Dial(dialCtx, target.Address)
+	cancel()
+	if s.Dialed != nil && ctx.Err() == nil {
+		s.Dialed(target, err)
+	}
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return s.refuse(st, codeRefused, err)
+	case err != nil:
+		return s.refuse(st, codeUnreachable, err)
+	}
+	defer conn.Close()
+	if err := st.Send(wire.AckEnvelope()); err != nil {
+		return errors.Trace(err)
+	}
+	accepted.Inc()
+	pass(ctx, st.Conn(), conn)
+	return nil
+}
+
+// refuse replies with a failure.
+func (s *Server) refuse(st *wire.Stream, code string, err error) error {
+	refused.Inc()
+	return st.Send(wire.FailureEnvelope("connect", code, err))
+}
+
+// pass copies between two connections until one of them ends or ctx does, and closes
+// both: an end must not look like silence to the other side.
+func pass(ctx context.Context, a, b net.Conn) {
+	closeBoth := sync.OnceFunc(func() {
+		_ = a.Close()
+		_ = b.Close()
+	})
+	defer context.AfterFunc(ctx, closeBoth)()
+	var wg sync.WaitGroup
+	for _, direction := range [][2]net.Conn{{a, b}, {b, a}} {
+		wg.Go(func() {
+			defer closeBoth()
+			copyBytes(direction[0], direction[1])
+		})
+	}
+	wg.Wait()
+}
+
+// copyBytes copies until one side fails or ends. It has a buffer of its own, as
+// io.Copy would take one of 32 KiB.
+func copyBytes(to io.Writer, from io.Reader) {
+	buf := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			bytesMoved.Add(n)
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/peerconn/peerconn_test.go
@@ -0,0 +1,233 @@
+package peerconn
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"bilberryhub/internal/wire"
+	"bilberryhub/internal/wirepb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// peer is a process that connects for others.
+type peer struct {
+	Server
+	wire   *wire.Server
+	client *wire.Client
+}
+
+func newPeer(t *testing.T) *peer {
+	t.Helper()
+	p := &peer{}
+	p.Allows = func(wire.Peer, Target) error { return nil }
+	p.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		return wire.Dialer().DialContext(ctx, "tcp", address)
+	}
+	var err error
+	p.wire, err = wire.Serve("127.0.0.1:0", wire.Options{Self: wire.Identity{Kind: wire.KindEntry, ID: "peer"}},
+		func(ctx context.Context, st *wire.Stream, req *wirepb.Envelope) error {
+			return p.Serve(ctx, st, req.GetConnect())
+		}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.client = wire.NewClient(p.wire.Address(), wire.Options{Self: wire.Identity{Kind: wire.KindEntry, ID: "caller"}})
+	t.Cleanup(func() {
+		_ = p.client.Close()
+		_ = p.wire.Close()
+	})
+	return p
+}
+
+// backend listens and passes each connection to serve.
+func backend(t *testing.T, serve func(net.Conn)) Target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return Target{ID: "b", Address: l.Addr().String()}
+}
+
+func echo(c net.Conn) {
+	defer c.Close()
+	_, _ = io.Copy(c, c)
+}
+
+// Guards against bytes that are lost, cut short or reordered on their way through a
+// peer.
+func TestBytesPassUnchanged(t *testing.T) {
+	p := newPeer(t)
+	conn, err := Dial(t.Context(), t.Context(), p.client, backend(t, echo))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
+	go func() { _, _ = conn.Write(sent) }()
+	got := make([]byte, len(sent))
+	if _, err := io.ReadFull(conn, got); err != nil || !bytes.Equal(got, sent) {
+		t.Fatalf("%d bytes came back otherwise: %v", len(sent), err)
+	}
+}
+
+// Guards against an end of one side that the other side doesn't notice: a caller would
+// wait for a response that can't come, and a backend server would work for nobody.
+func TestEndsArePassedOn(t *testing.T) {
+	p := newPeer(t)
+	ended := make(chan struct{})
+	conn, err := Dial(t.Context(), t.Context(), p.client, backend(t, func(c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+		close(ended)
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the backend server doesn't notice that the caller has left")
+	}
+	conn, err = Dial(t.Context(), t.Context(), p.client, backend(t, func(c net.Conn) { _ = c.Close() }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("the end of the backend server is read as %v", err)
+	}
+	for end := time.Now().Add(5 * time.Second); p.Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections stay open", p.Open())
+		}
+	}
+}
+
+// Guards against errors that blame a backend server for its peer or the reverse, and
+// against a connection beyond the limits of the call.
+func TestDialErrors(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	nobody := Target{ID: "b", Address: closed.Addr().String()}
+	live := backend(t, echo)
+	for name, test := range map[string]struct {
+		change  func(*peer)
+		target  Target
+		isPeer  bool
+		refused bool
+	}{
+		"backend server refuses":       {func(*peer) {}, nobody, false, true},
+		"backend server is silent":     {func(p *peer) { p.Dial = hang }, live, false, false},
+		"peer doesn't allow it":        {func(p *peer) { p.Allows = forbid }, live, true, false},
+		"peer has no room":             {func(p *peer) { p.open.Store(MaxConnections) }, live, true, false},
+		"peer is gone":                 {func(p *peer) { _ = p.wire.Close() }, live, true, false},
+		"peer doesn't respond in time": {func(p *peer) { p.Allows = slow }, live, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPeer(t)
+			test.change(p)
+			conn, err := Dial(t.Context(), t.Context(), p.client, test.target)
+			if err == nil {
+				_ = conn.Close()
+				t.Fatal("connected")
+			}
+			var peerErr *PeerError
+			if errors.As(err, &peerErr) != test.isPeer || errors.Is(err, syscall.ECONNREFUSED) != test.refused {
+				t.Fatalf("%v: error of the peer %v, refused %v", err, errors.As(err, &peerErr), errors.Is(err, syscall.ECONNREFUSED))
+			}
+			if !test.isPeer && !strings.Contains(err.Error(), test.target.Address) {
+				t.Fatalf("%v doesn't name the backend server", err)
+			}
+		})
+	}
+}
+
+func hang(ctx context.Context, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func forbid(wire.Peer, Target) error { return errors.New("not allowed") }
+
+func slow(wire.Peer, Target) error {
+	time.Sleep(callTimeout + 200*time.Millisecond)
+	return nil
+}
+
+// Guards against a stream that holds memory at the peer because its reader is slow: the
+// peer must stop reading from the backend server.
+func TestBackPressure(t *testing.T) {
+	p := newPeer(t)
+	var written atomic.Int64
+	conn, err := Dial(t.Context(), t.Context(), p.client, backend(t, func(c net.Conn) {
+		defer c.Close()
+		chunk := make([]byte, 64<<10)
+		for {
+			_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+			n, err := c.Write(chunk)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	time.Sleep(500 * time.Millisecond)
+	first := written.Load()
+	time.Sleep(300 * time.Millisecond)
+	if now := written.Load(); now != first {
+		t.Fatalf("%d bytes were taken for a reader that doesn't read, and then %d", first, now)
+	}
+}
+
+// Guards against a connection that ends with the limit of its dial.
+func TestConnectionOutlivesItsDial(t *testing.T) {
+	p := newPeer(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	conn, err := Dial(ctx, t.Context(), p.client, backend(t, echo))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	time.Sleep(callTimeout + 100*time.Millisecond)
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+		t.Fatalf("the connection has ended: %v", err)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -205,6 +205,23 @@
 	return env, errors.Annotatef(err, "receive from %s", s.peer.ID)
 }
 
+// Conn returns the stream as a connection, for a call that continues with bytes in
+// place of envelopes. Send and Recv must not be used any more. Closing the connection
+// ends the call.
+func (s *Stream) Conn() net.Conn { return streamConn{s.conn, s} }
+
+// streamConn is a stream that carries bytes.
+type streamConn struct {
+	net.Conn
+	stream *Stream
+}
+
+// Read reads bytes, first those that arrived with the last envelope.
+func (c streamConn) Read(buf []byte) (int, error) { return c.stream.r.Read(buf) }
+
+// Close ends the call.
+func (c streamConn) Close() error { return c.stream.Close() }
+
 // Close ends the call. A pending Send or Recv fails.
 func (s *Stream) Close() error {
 	s.stop()
