Refuse announcements whose address or numbers nobody can use

Reported by other operators: one odd entry of another writer among those of the backend servers (nested deeply, a number too large, a port out of range) ended the readers of the list.

Deep nesting and numbers beyond their type were refused already.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -13,7 +13,9 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -142,6 +144,8 @@
 		return errors.Errorf("announcement of %s: boot is zero", a.ID)
 	case a.Address == "":
 		return errors.Errorf("announcement of %s: address is empty", a.ID)
+	case !isHostPort(a.Address):
+		return errors.Errorf("announcement of %s: address %q is no host and port", a.ID, a.Address)
 	case a.FailureDomain == "":
 		return errors.Errorf("announcement of %s: failure_domain is empty", a.ID)
 	case a.Service == "":
@@ -157,3 +161,13 @@
 	}
 	return nil
 }
+
+// isHostPort reports whether address consists of a host and a port from 1 to 65535.
+func isHostPort(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
