Continue a stream only with a response of the same type

Reported by other operators: after a stream broke off, the error of the next backend server stood in the middle of the caller's stream. Here errors with a status of 400 or more never did, but a response with status 200 and another type was passed on behind the events, and the stream ended as if it were complete. Such a response counts as a failed attempt now.

TestErrorOfTheNextBackendServerIsNoPartOfTheStream: two of its eight cases failed before. TestRepeatedRefusalIsNotTakenForTheNext (a refusal that a backend server writes once more on a kept connection) passed before: each response of a backend server must name its request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -290,6 +290,11 @@
 	}
 	r.backend = a.pick.backend.ID
 	if r.route.Repeat == manifest.RepeatStream && response.Status == http.StatusOK {
+		if r.events > 0 && response.Header.Get("Content-Type") != r.contentType {
+			a.err = errors.Errorf("%s continues a stream of type %q with type %q", a.pick.backend.ID, r.contentType, response.Header.Get("Content-Type"))
+			a.blame(outcomeFailed, bootclock.Now())
+			return mayHaveRun
+		}
 		return a.relayStream(response, stall)
 	}
 	return a.handleResponse(response, stall)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -66,6 +66,8 @@
 	outcome string
 	status  int
 	backend string
+	// contentType is that of the response whose head the caller got.
+	contentType string
 	// events is the number of events sent to the caller, firstMs the time in ms
 	// from the arrival to the first event.
 	events  int
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -198,7 +198,7 @@
 	for name, values := range a.g.dialect.ResponseHeader(response.Header) {
 		h[name] = values
 	}
-	a.r.status, a.r.outcome = response.Status, "stream"
+	a.r.status, a.r.outcome, a.r.contentType = response.Status, "stream", response.Header.Get("Content-Type")
 	a.r.w.WriteHeader(response.Status)
 }
 
