Take a refusal on a pooled connection for the request's own only if it names it

Reported by other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran. In gateways each response must name its request. In entry processes a response 421 ("not run", another boot) was believed without an id, also on a pooled connection, which may carry a late copy of an earlier one. There the outcome is unknown now unless the response names the dispatch; the stand-in names it. TestRefusalOfAnotherRequestProvesNothing failed before (no id on a kept connection). Requests that aren't idempotent have connections of their own, as before.

Open: other responses of plain services that echo no id can't be told apart on a pooled connection.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -25,8 +25,8 @@
 const Path = "/v1/backend-servers/announce"
 
 // BootHeader carries the boot number for which a request was granted. A backend
-// server that runs under another boot number responds with StatusWrongBoot and does
-// not run the request: a grant for an earlier boot must not add to the load of a
+// server that runs under another boot number responds with StatusWrongBoot and the
+// X-Request-Id of the request, and does not run the request: a grant for an earlier boot must not add to the load of a
 // cold start. Backend servers that do not implement the header run the request.
 const (
 	BootHeader      = "X-Backend-Boot"
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -162,12 +162,16 @@
 // cannot repeat, which are those with a body, because it cannot be rewound. All
 // other requests use a new connection.
 func (c *Client) transport(r *Request) *http.Transport {
-	if r.Idempotent && len(r.Body) > 0 {
+	if r.IsPooled() {
 		return c.pooled
 	}
 	return c.unpooled
 }
 
+// IsPooled reports whether the request may use a connection that has carried others. A
+// late copy of an earlier response may then arrive in place of its own.
+func (r *Request) IsPooled() bool { return r.Idempotent && len(r.Body) > 0 }
+
 func newRequest(ctx context.Context, r *Request) (*http.Request, error) {
 	var body io.Reader
 	if len(r.Body) > 0 {
--- a/internal/standin/instance.go
+++ b/internal/standin/instance.go
@@ -10,6 +10,7 @@
 
 	"bilberryhub/internal/announce"
 	"bilberryhub/internal/observe"
+	"bilberryhub/internal/openai"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -169,6 +170,7 @@
 		}
 		defer in.background.Done()
 		if want := r.Header.Get(announce.BootHeader); want != "" && want != strconv.FormatUint(b.number, 10) {
+			w.Header().Set(openai.HeaderRequestID, r.Header.Get(openai.HeaderRequestID))
 			writeError(w, announce.StatusWrongBoot, "wrong_boot", "this backend server runs under another boot number")
 			return
 		}
