Connect through the dispatcher while an entry process has lost its path to backend servers

The entry process asks the dispatcher that granted the request to connect (package peerconn): after a connection that fails, and at once while it counts as isolated. The health check that tells a crash takes the same way, so that a refused connection is no crash if the dispatcher connects.

Not covered: a dispatcher whose own connections are lost while announcements still reach it (docs/design.md).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -93,7 +93,7 @@
 // it to inject faults.
 func NewClient(dial dialFunc) *Client {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		dial = Dial
 	}
 	newTransport := func() *http.Transport {
 		return &http.Transport{
@@ -110,12 +110,20 @@
 	return c
 }
 
-// Close closes idle connections.
-func (c *Client) Close() {
+// Dial connects to a backend server.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+}
+
+// CloseIdle closes idle connections.
+func (c *Client) CloseIdle() {
 	c.pooled.CloseIdleConnections()
 	c.unpooled.CloseIdleConnections()
 }
 
+// Close ends the use of the client.
+func (c *Client) Close() { c.CloseIdle() }
+
 // onceReader hides the concrete type of the body, so that net/http cannot set
 // GetBody and therefore cannot send the body again. It drops its reference to the
 // body at the end, because net/http keeps the request until the response has been
--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -217,3 +217,14 @@
 		}
 	}
 }
+
+// HasBackend reports whether a backend server with an id announces itself here under an
+// address.
+func (c *Core) HasBackend(id, address string) bool {
+	for _, p := range c.pools {
+		if b := p.backends[id]; b != nil && b.last != nil && b.last.Address == address {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -73,6 +73,8 @@
 	standins       []*standin.Process
 	manifestNumber uint64
 	http           *http.Client
+	// lostPath is the state of the path of each entry process to the backend servers.
+	lostPath map[int]*lostPath
 }
 
 func domainName(i int) string { return fmt.Sprintf("d%d", i+1) }
@@ -97,7 +99,7 @@
 func newCluster(t *testing.T, l layout) *cluster {
 	t.Helper()
 	t.Cleanup(invariant.SetHandler(func(name, detail string) { t.Errorf("invariant %s violated: %s", name, detail) }))
-	c := &cluster{t: t, layout: l, net: newNetwork(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	c := &cluster{t: t, layout: l, net: newNetwork(), lostPath: map[int]*lostPath{}, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	t.Cleanup(c.stop)
 	c.startStates()
 	c.startEntries()
@@ -167,7 +169,7 @@
 func (c *cluster) startEntry(i int) {
 	c.t.Helper()
 	domain := c.entrySettings[i].FailureDomain
-	s, err := entry.New(c.entrySettings[i], entry.Options{Dial: c.net.dialer(domain), BackendDial: c.net.dialer(domain)}, zap.NewNop())
+	s, err := entry.New(c.entrySettings[i], entry.Options{Dial: c.net.dialer(domain), BackendDial: c.backendDialer(i, domain)}, zap.NewNop())
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -103,7 +103,7 @@
 func (a *attempt) resume(ctx context.Context, st *relay.Stream) (*http.Response, error) {
 	h := http.Header{}
 	h.Set(lastEventHeader, st.LastEventID)
-	resp, err := a.server.backends.Do(ctx, &backend.Request{
+	resp, err := a.server.backends.Do(a.withRoute(ctx), &backend.Request{
 		Backend: a.member.GetBackend(), Address: a.member.GetAddress(), ID: a.id,
 		Method: http.MethodGet, Path: "/v1/streams/" + a.id, Header: h,
 	})
@@ -155,7 +155,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 		defer cancel()
-		resp, err := a.server.backends.Do(ctx, &backend.Request{
+		resp, err := a.server.backends.Do(a.withRoute(ctx), &backend.Request{
 			Backend: a.member.GetBackend(), Address: a.member.GetAddress(), ID: a.id,
 			Method: http.MethodDelete, Path: "/v1/streams/" + a.id,
 		})
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -189,7 +189,7 @@
 		Method: a.req.method, Path: a.req.path, Header: a.header(), Body: body,
 		Idempotent: a.req.idempotent, BeforeSend: a.beforeSend,
 	}
-	resp, err := a.server.backends.Do(ctx, request)
+	resp, err := a.server.backends.Do(a.withRoute(ctx), request)
 	if err != nil {
 		return nil, a.sendErrorOutcome(ctx, err)
 	}
@@ -338,7 +338,7 @@
 func (a *attempt) checkForCrash(out *outcome) {
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
-	health := a.server.backends.CheckHealth(ctx, a.member.GetAddress(), a.member.GetBoot())
+	health := a.server.backends.CheckHealth(a.withRoute(ctx), a.member.GetAddress(), a.member.GetBoot())
 	a.log.Info("health after a broken connection", zap.Stringer("health", health))
 	if health == backend.HealthCrashed {
 		out.step = wirepb.Progress_STEP_CRASHED
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -172,6 +172,8 @@
 		return st.Send(wire.AckEnvelope())
 	case *wirepb.Envelope_FindDispatch:
 		return s.serveFindDispatch(ctx, st, body.FindDispatch)
+	case *wirepb.Envelope_Connect:
+		return s.connects.Serve(ctx, st, body.Connect)
 	case *wirepb.Envelope_ConfigPull:
 		return s.sync.ServePull(st, body.ConfigPull)
 	case *wirepb.Envelope_Dump:
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -10,13 +10,15 @@
 )
 
 var (
-	metricFirstToken  = metrics.NewHistogram("bilberry_first_token_seconds")
-	metricDuration    = metrics.NewHistogram("bilberry_request_seconds")
-	metricRetries     = metrics.NewCounter("bilberry_retries_total")
-	metricResumes     = metrics.NewCounter("bilberry_stream_resumes_total")
-	metricCrashes     = metrics.NewCounter("bilberry_backend_crashes_total")
-	metricVoidPermits = metrics.NewCounter("bilberry_void_permits_total")
-	metricPauses      = metrics.NewCounter("bilberry_process_pauses_total")
+	metricFirstToken      = metrics.NewHistogram("bilberry_first_token_seconds")
+	metricDuration        = metrics.NewHistogram("bilberry_request_seconds")
+	metricRetries         = metrics.NewCounter("bilberry_retries_total")
+	metricResumes         = metrics.NewCounter("bilberry_stream_resumes_total")
+	metricCrashes         = metrics.NewCounter("bilberry_backend_crashes_total")
+	metricVoidPermits     = metrics.NewCounter("bilberry_void_permits_total")
+	metricPauses          = metrics.NewCounter("bilberry_process_pauses_total")
+	metricIsolated        = metrics.NewCounter("bilberry_entry_isolated_total")
+	metricPeerConnections = metrics.NewCounter("bilberry_entry_peer_connections_total")
 )
 
 // countRefusal counts a refusal by code and by whether the request was run.
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -18,7 +18,10 @@
 type reservation struct {
 	reserve    *wirepb.Reserve
 	dispatcher string
-	grant      *wirepb.Grant
+	// dispatcherAddress is the wire address of the dispatcher, or empty if that is this
+	// process.
+	dispatcherAddress string
+	grant             *wirepb.Grant
 	// permitExpiry is the time at which the permit expires, by the clock of this
 	// process.
 	permitExpiry time.Time
@@ -97,6 +100,9 @@
 	// one that the dispatcher counts from its receipt.
 	res.permitExpiry = sent.Add(time.Duration(g.GetPermitMs()) * time.Millisecond)
 	res.reserve, res.dispatcher = m, dispatcher.id
+	if dispatcher.id != s.settings.ID {
+		res.dispatcherAddress = dispatcher.address
+	}
 	return res, nil
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,6 +30,7 @@
 	"bilberryhub/internal/configsync"
 	"bilberryhub/internal/dispatch"
 	"bilberryhub/internal/observe"
+	"bilberryhub/internal/peerconn"
 	"bilberryhub/internal/peers"
 	"bilberryhub/internal/routing"
 	"bilberryhub/internal/wire"
@@ -63,12 +64,15 @@
 	incarnation uint64
 	tls         *tls.Config
 
-	loop     *loop
-	requests *requestTable
-	open     *openDispatches
-	sync     *configsync.Syncer
-	claims   *claim.Client
-	backends *backend.Client
+	loop      *loop
+	requests  *requestTable
+	open      *openDispatches
+	sync      *configsync.Syncer
+	claims    *claim.Client
+	backends  *backend.Client
+	isolation *isolation
+	// connects serves entry processes that can't reach backend servers.
+	connects *peerconn.Server
 	clients  *wire.Pool
 	admin    *observe.Admin
 
@@ -101,8 +105,9 @@
 		// Nanoseconds since the epoch increase with each start, even if the clock was
 		// set back by less than the time since the last start.
 		incarnation: uint64(time.Now().UnixNano()),
-		loop:        newLoop(), requests: newRequestTable(), open: newOpenDispatches(), backends: backend.NewClient(opts.BackendDial),
+		loop:        newLoop(), requests: newRequestTable(), open: newOpenDispatches(), isolation: newIsolation(),
 	}
+	s.backends, s.connects = backend.NewClient(s.dialBackend(s.directDial())), s.newPeerServer(s.directDial())
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.abortCtx, s.abortRequests = context.WithCancel(context.Background())
 	s.clients = wire.NewPool(s.wireOptions())
@@ -174,11 +179,20 @@
 	c.core.SetHomes(c.router)
 	s.wg.Go(func() { s.loop.run(s.ctx, c) })
 	s.wg.Go(s.runHeartbeats)
+	s.wg.Go(func() { s.probeLostPath(s.directDial()) })
 	if v := s.sync.Current(); v != nil {
 		s.applyConfig(v)
 	}
 }
 
+// directDial returns the function that connects to backend servers directly.
+func (s *Server) directDial() func(ctx context.Context, network, address string) (net.Conn, error) {
+	if s.opts.BackendDial != nil {
+		return s.opts.BackendDial
+	}
+	return backend.Dial
+}
+
 // listenHTTP starts an HTTP server and returns it with its listen address.
 func (s *Server) listenHTTP(address string, handler http.Handler) (*http.Server, string, error) {
 	l, err := net.Listen("tcp", address)
@@ -241,6 +255,14 @@
 		return errors.Errorf("%d requests were still open at the drain limit and were failed", open)
 	}
 	s.waitForHandover()
+	// Requests of other entry processes whose connections go through this one end first.
+	for s.connects.Open() > 0 {
+		select {
+		case <-time.After(tickInterval):
+		case <-limit.C:
+			return errors.Errorf("%d connections for other entry processes were still open at the drain limit", s.connects.Open())
+		}
+	}
 	return nil
 }
 
