--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -228,6 +228,10 @@
 	if errors.As(err, &quarantine) {
 		return quarantine.retryAfter
 	}
+	var paused *pausedError
+	if errors.As(err, &paused) {
+		return max(10*time.Millisecond, min(paused.until-bootclock.Now(), (r.deadline-bootclock.Now())/3))
+	}
 	var full *overloadError
 	if errors.As(err, &full) {
 		mean = max(mean, time.Duration(full.untilMs*float64(time.Millisecond)))
@@ -267,6 +271,10 @@
 		defer g.release(r.caller.ID, a.pick.reservations)
 		go a.renew(ctx)
 	}
+	// The choice may be older than a notice, as reservations take time.
+	if a.err = g.noticeError(a.pick.job.backend); a.err != nil {
+		return notRun
+	}
 	a.sent = now
 	r.attempts++
 	a.isDirect.Store(!g.isolation.isIsolated())
@@ -285,6 +293,7 @@
 	g.recordContact(a.pick.backend.FailureDomain)
 	info := g.dialect.DecodeResponse(response.Status, response.Header)
 	a.recordLimit(info)
+	g.recordNotices(a.pick.backend, r.caller.ID, info)
 	if info.NotRun {
 		return a.handleRefusal(response, info)
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -139,11 +139,17 @@
 		if c.condition.dead {
 			continue
 		}
+		isSpared, err := g.checkNotices(key, now)
+		if err != nil {
+			refused = earlier(refused, err)
+			continue
+		}
 		var allowed bool
 		if c.spare, allowed = g.allowsRequest(key, now); !allowed {
 			refused = errLimited
 			continue
 		}
+		c.spare = c.spare || isSpared
 		if isLocalDetail && b.FailureDomain != g.settings.FailureDomain {
 			c.works = g.workTable.remoteWorks(b.FailureDomain, key, c.works, now)
 		}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -61,6 +61,13 @@
 	// until a response states none.
 	RequestLimit    float64
 	HasRequestLimit bool
+	// Leaving is set if the backend server says that it leaves.
+	Leaving bool
+	// Pause is how long the backend server wants no more requests from this gateway, from
+	// the response on; 0 if it states nothing. InvalidNotice is set if it states something
+	// about that, or about leaving, that has no meaning.
+	Pause         time.Duration
+	InvalidNotice bool
 	// FailedBackend is the id or address of another backend server that caused
 	// the failure; empty if none is stated.
 	FailedBackend string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,7 @@
 	peerServer *wire.Server
 	suspects   *suspects
 	limits     *limits
+	notices    *notices
 	exchanges  *exchange.Pool
 	udp        *net.UDPConn
 	// sendDatagram sends a datagram to another gateway.
@@ -117,7 +118,7 @@
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
 		settings: s, dialect: d, log: log, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
-		callerConns: newCallerConns(), budget: newBudget(s), reachability: newReachability(), isolation: newIsolation(), suspects: newSuspects(), limits: newLimits(), exchanges: exchange.NewPool(maxIdleConns),
+		callerConns: newCallerConns(), budget: newBudget(s), reachability: newReachability(), isolation: newIsolation(), suspects: newSuspects(), limits: newLimits(), notices: &notices{}, exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.sendDatagram = func(data []byte, to netip.AddrPort) error {
 		_, err := g.udp.WriteToUDPAddrPort(data, to)
@@ -267,6 +268,7 @@
 			keys[b.Key()] = true
 		}
 		g.health.retainOnly(keys)
+		g.notices.retain(keys, bootclock.Now())
 		if reason := g.notReadyReason(); first || reason != lastReason {
 			first, lastReason = false, reason
 			g.log.Info("readiness changed", zap.Bool("ready", reason == ""), zap.String("reason", reason))
--- /dev/null
+++ b/internal/gateway/notices_test.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/wirepb"
+)
+
+// says returns a handler that serves requests, or refuses them with a pause of some
+// seconds, and counts them.
+func says(received *atomic.Int32, leaving bool, pauseSeconds int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		if leaving {
+			w.Header().Set("X-Leaving", "1")
+		}
+		echo(w, r)
+		if pauseSeconds > 0 {
+			w.Header().Set("X-Not-Run", "1")
+			w.Header().Set("X-Pause", strconv.Itoa(pauseSeconds))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+}
+
+// Guards against requests to a backend server that has said in a response that it leaves,
+// although its announcements say otherwise; the others serve.
+func TestLeavingBackendServerGetsNoMore(t *testing.T) {
+	s := newSetup(t)
+	var leaving, sound atomic.Int32
+	s.add("leaving", "plain", "a", says(&leaving, true, 0))
+	s.add("sound", "plain", "a", says(&sound, false, 0))
+	const requests = 30
+	for range requests {
+		s.status(http.StatusOK, "/safe/x")
+		s.announce("leaving", "plain", "a", s.g.members.backend("leaving").Address)
+	}
+	if n := leaving.Load(); n > 1 {
+		t.Errorf("the leaving backend server got %d requests", n)
+	}
+	// Its next lifetime starts clean.
+	b := *s.g.members.backend("leaving")
+	b.BornMs++
+	s.g.members.mu.Lock()
+	s.g.members.table.Merge(b)
+	s.g.members.sorted = nil
+	s.g.members.mu.Unlock()
+	if err := s.g.noticeError(s.g.members.backend("leaving").Key()); err != nil {
+		t.Errorf("the next lifetime inherits the notice: %v", err)
+	}
+}
+
+// Guards against a gateway that goes on sending to a backend server of which another
+// gateway has heard that it leaves, or that counts another one's pause as its own.
+func TestLeavingIsShared(t *testing.T) {
+	s, other := newSetup(t), newSetup(t)
+	var received atomic.Int32
+	b := s.add("b0", "plain", "a", says(&received, true, 0))
+	s.status(http.StatusOK, "/safe/x")
+	other.g.receiveShare(s.g.share(1))
+	if other.g.noticeError(b.Key()) == nil {
+		t.Error("the other gateway doesn't know that the backend server leaves")
+	}
+	// Nothing that is shared lifts what a gateway has heard.
+	s.g.receiveShare(&wirepb.LoadShare{Gateway: "gateway-2", Sequence: 1})
+	if s.g.noticeError(b.Key()) == nil {
+		t.Error("a load share lifts the notice")
+	}
+	paused := s.add("b1", "plain", "a", says(&received, false, 2))
+	s.status(http.StatusServiceUnavailable, "/safe/x")
+	if s.g.noticeError(paused.Key()) == nil {
+		t.Error("the pause is not obeyed")
+	}
+	other.g.receiveShare(s.g.share(2))
+	if other.g.noticeError(paused.Key()) != nil {
+		t.Error("the pause counts for a gateway that wasn't told")
+	}
+}
+
+// Guards against requests to a backend server within the pause that it wants, and against
+// refusals that don't say when it ends, if all backend servers want one.
+func TestPauseIsObeyed(t *testing.T) {
+	s := newSetup(t)
+	var busy, sound atomic.Int32
+	for i := range 2 {
+		s.add(fmt.Sprintf("busy-%d", i), "plain", "a", says(&busy, false, 2))
+	}
+	resp, body, err := s.call("/once/x", "X-Wait-Ms", "5000")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("%v: %s", err, body)
+	}
+	for range 10 {
+		start := bootclock.Now()
+		resp, _, err := s.call("/once/x", "X-Wait-Ms", "5000")
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("status %d, %v", resp.StatusCode, err)
+		}
+		if took := bootclock.Now() - start; took > 500*time.Millisecond {
+			t.Errorf("the refusal took %v", took)
+		}
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		// A third of the time left bounds it, in whole milliseconds.
+		if err != nil || after < 1 || after > 1.667 {
+			t.Errorf("Retry-After is %q", resp.Header.Get("Retry-After"))
+		}
+	}
+	if n := busy.Load(); n > 2 {
+		t.Errorf("%d requests reached backend servers that want a pause, expected one each", n)
+	}
+	s.add("sound", "plain", "a", says(&sound, false, 0))
+	for range 10 {
+		s.status(http.StatusOK, "/once/x")
+	}
+	if n := busy.Load(); n > 2 || sound.Load() != 10 {
+		t.Errorf("%d requests at busy backend servers, %d at the sound one", n, sound.Load())
+	}
+}
+
+// Guards against helpers for long prompts that have said that they leave.
+func TestLeavingEnginesAreNoHelpers(t *testing.T) {
+	s := newSetup(t)
+	for i := range 4 {
+		s.add(fmt.Sprintf("engine-%d", i), "model", "a", echo)
+	}
+	leaving := s.add("leaving", "model", "a", echo)
+	s.g.recordNotices(leaving, "", ResponseInfo{Leaving: true})
+	for i := range 5 {
+		r := &request{caller: CallerRequest{ID: fmt.Sprint(i), PromptTokens: 250_000, OutputTokens: 100}, arrived: bootclock.Now()}
+		r.version = s.g.sync.Current()
+		r.route = r.version.Manifest.Routing.Match("h.example", "/stream/x")
+		r.service = r.version.Manifest.Routing.Service("model")
+		r.deadline = r.arrived + 5*time.Second
+		p, err := s.g.choose(r, r.service, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.g.workTable.remove(append(p.helperJobs, p.job)...)
+		if len(p.helpers) == 0 {
+			t.Error("the prompt has no helpers, so that the test shows nothing")
+		}
+		for _, h := range append(p.helpers, p.backend) {
+			if h.ID == "leaving" {
+				t.Error("the leaving engine is chosen")
+			}
+		}
+	}
+}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -119,6 +119,7 @@
 		return errors.Trace(err)
 	}
 	defer response.Close()
+	g.recordNotices(res.holder, "", g.dialect.DecodeResponse(response.Status, response.Header))
 	if _, err := response.ReadAll(maxReserveResponseBytes); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -53,7 +53,11 @@
 
 func (testDialect) DecodeResponse(_ int, h http.Header) ResponseInfo {
 	limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
-	return ResponseInfo{NotRun: h.Get("X-Not-Run") != "", RequestLimit: limit, HasRequestLimit: err == nil}
+	pause, _ := strconv.Atoi(h.Get("X-Pause"))
+	return ResponseInfo{
+		NotRun: h.Get("X-Not-Run") != "", RequestLimit: limit, HasRequestLimit: err == nil,
+		Leaving: h.Get("X-Leaving") != "", Pause: time.Duration(pause) * time.Second,
+	}
 }
 
 func (testDialect) ResponseHeader(h http.Header) http.Header { return h.Clone() }
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -262,7 +262,7 @@
 	s := &wirepb.LoadShare{
 		Gateway: g.settings.ID, Incarnation: g.incarnation, Sequence: sequence, Verdicts: g.health.verdicts(now),
 		NextWithinMs: uint32(g.shareInterval().Milliseconds()), CrashEvidence: g.suspects.evidenceMessage(now),
-		RequestLimits: g.limits.message(now), Isolated: g.isolation.isIsolated(),
+		RequestLimits: g.limits.message(now), Isolated: g.isolation.isIsolated(), Leaving: g.notices.leaving(),
 	}
 	for j := range b.local {
 		if len(s.Running) == maxSharedJobs {
@@ -332,6 +332,7 @@
 	}
 	g.mergeCrashEvidence(s.GetCrashEvidence())
 	g.mergeLimits(s.GetRequestLimits())
+	g.mergeLeaving(s.GetLeaving())
 	if summary := s.GetSummary(); summary != nil {
 		g.mergeSummary(summary)
 		return
@@ -348,6 +349,7 @@
 			sharesReceived.Inc()
 			g.mergeCrashEvidence(part.GetCrashEvidence())
 			g.mergeLimits(part.GetRequestLimits())
+			g.mergeLeaving(part.GetLeaving())
 			g.mergeShare(part)
 		}
 	}
