Grant nothing to an engine before the pause that it asked for ends

The entry process reports the pause with the outcome, and the dispatcher leaves the engine out until then, also for the time that it names to callers when all are out. A new boot starts without it.

--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -120,6 +120,7 @@
 	b.cache = prefixCache{}
 	b.ttftFit, b.prefillSpeed, b.overhead = ttftRegression{}, 0, 0
 	b.reportAt, b.reportEarliest, b.reportedOpen, b.foreignStale = 0, 0, nil, true
+	b.pausedUntil = 0
 	clear(b.maybeRunning)
 	// A waiting period continues, for the same reason: permits of the previous owner
 	// may still be used.
@@ -196,6 +197,8 @@
 		return false, "lease lapsed"
 	case c.now < b.waitUntil:
 		return false, "waiting period after a change of owner"
+	case c.now < b.pausedUntil:
+		return false, "wants a pause"
 	}
 	if c.view != nil && !c.disabled.exclusionCheck {
 		if out, why := c.view.Excluded(b.pool.key.domain, b.id); out {
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"bilberryhub/internal/notice"
 	"bilberryhub/internal/suspicion"
 	"bilberryhub/internal/wirepb"
 )
@@ -145,6 +146,7 @@
 	if d.state == stateQueued {
 		return
 	}
+	c.recordPause(d, m)
 	switch m.Step {
 	case wirepb.Progress_STEP_STARTED:
 		c.markStarted(d)
@@ -168,6 +170,18 @@
 	c.drainQueue(d.pool)
 }
 
+// recordPause records that the backend server of a dispatch wants no requests for some
+// time. A pause is never shortened.
+func (c *Core) recordPause(d *dispatch, m *wirepb.Progress) {
+	pause := min(time.Duration(m.PauseMs)*time.Millisecond, notice.MaxPause)
+	b := d.pool.backends[m.Backend]
+	if pause <= 0 || b == nil || b.boot != m.Boot {
+		return
+	}
+	b.pausedUntil = max(b.pausedUntil, c.now+pause)
+	b.touch()
+}
+
 // restoreExpired restores a dispatch whose start was reported after its permit had
 // expired and its reservation had been freed: the request runs, so its memory and slot
 // are in use. It returns nil if there is no such dispatch or a member has restarted.
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -118,14 +118,15 @@
 }
 
 // untilNextBackend estimates the time until a pool without a usable backend server has
-// one: the rest of the shortest waiting period, or noBackendRetryAfter.
+// one: the rest of the shortest waiting period or pause, or noBackendRetryAfter.
 func (c *Core) untilNextBackend(p *pool) time.Duration {
 	next := time.Duration(0)
 	for _, b := range p.sortedBackends {
-		if c.now >= b.waitUntil || c.now >= b.leaseEnd || b.last.Leaving {
+		until := max(b.waitUntil, b.pausedUntil)
+		if c.now >= until || c.now >= b.leaseEnd || b.last.Leaving {
 			continue
 		}
-		if left := b.waitUntil - c.now; next == 0 || left < next {
+		if left := until - c.now; next == 0 || left < next {
 			next = left
 		}
 	}
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -56,6 +56,8 @@
 	leaseEnd time.Duration // end of the announcement lease
 	// waitUntil is the end of the waiting period after a change of owner.
 	waitUntil time.Duration
+	// pausedUntil is the end of the pause that it asked for in a response, or 0.
+	pausedUntil time.Duration
 	// completeReportFrom is the time since which a load report must have been taken to
 	// list all requests that an earlier owner started.
 	completeReportFrom time.Duration
