Try an own connection if no other gateway can connect; wait for connections of others at a stop

With a single gateway, or while all others are old builds or isolated too, several dead backend servers that look like a lost path would have made it refuse requests that its own connections could carry (TestGatewayWithoutOthersTriesItself: 503 before). TestPlannedStopWaitsForConnectionsOfOthers covers the wait at a planned stop, now a function of its own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -278,7 +278,7 @@
 	a.sent = now
 	r.attempts++
 	a.isDirect.Store(!g.isolation.isIsolated())
-	response, isDirect, err := g.send(ctx, a.pick.backend, exchange.Request{
+	response, isDirect, err := g.send(ctx, a.pick.backend, len(r.tried) == 0, exchange.Request{
 		Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
 		Header: g.dialect.EncodeDispatch(r.http, r.caller, a.dispatch(remaining)), Body: r.body,
 		NewConnection: !r.route.Idempotent(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -296,9 +296,7 @@
 	defer cancel()
 	_ = g.callerListener.Close()
 	err := g.callerConns.drain(ctx, g.callers)
-	for g.connects.Open() > 0 && sleep(ctx, drainPollInterval) {
-		// Requests of isolated gateways end first.
-	}
+	g.waitForPeers(ctx)
 	g.log.Info("stopped", zap.Int64("open_requests", g.open.Load()), observe.Error(err))
 	g.Close()
 	return nil
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -355,3 +355,77 @@
 		t.Fatalf("chosen are %v after the end of an isolation", got)
 	}
 }
+
+// Guards against a planned stop that cuts a request of another gateway whose connection
+// goes through the one that stops.
+func TestPlannedStopWaitsForConnectionsOfOthers(t *testing.T) {
+	s := newIsolationSetup(t, 1)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	s.addEverywhere(3, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Id") == "long" {
+			close(arrived)
+			<-release
+		}
+		echo(w, r)
+	})
+	s.path.set(pathRefuses)
+	s.callMany("/once/x", 2)
+	status := make(chan int, 1)
+	go func() {
+		resp, _, err := s.call("/once/x", "X-Id", "long")
+		if err != nil {
+			status <- 0
+			return
+		}
+		status <- resp.StatusCode
+	}()
+	<-arrived
+	stopped := make(chan struct{})
+	go func() {
+		s.others[0].g.waitForPeers(t.Context())
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+		t.Fatal("the stop doesn't wait")
+	case <-time.After(200 * time.Millisecond):
+	}
+	close(release)
+	if got := <-status; got != http.StatusOK {
+		t.Fatalf("status %d", got)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the stop waits although no connection is open")
+	}
+}
+
+// Guards against a gateway that refuses requests, because it takes several dead backend
+// servers for a lost path, while no other gateway can connect and its own connections
+// would work.
+func TestGatewayWithoutOthersTriesItself(t *testing.T) {
+	s := newSetup(t)
+	s.add("b0", "plain", "a", echo)
+	now := bootclock.Now()
+	s.g.isolation.state.RecordFailure(1, 3, now, now)
+	s.g.isolation.state.RecordFailure(2, 3, now, now)
+	if !s.g.isolation.isIsolated() {
+		t.Fatal("the gateway doesn't count as isolated")
+	}
+	s.status(http.StatusOK, "/once/x")
+}
+
+// Guards against callers who wait for several connections of a gateway that reaches no
+// backend server, while no other gateway can connect.
+func TestRequestIsRefusedSoonIfNobodyCanConnect(t *testing.T) {
+	s := newIsolationSetup(t, 0)
+	s.addEverywhere(5, echo)
+	s.path.set(pathVanishes)
+	s.callMany("/once/x", 1)
+	start := bootclock.Now()
+	s.status(http.StatusServiceUnavailable, "/once/x")
+	if took := bootclock.Now() - start; took > 800*time.Millisecond {
+		t.Errorf("the refusal took %v", took)
+	}
+}
--- a/internal/gateway/peerconn.go
+++ b/internal/gateway/peerconn.go
@@ -35,19 +35,40 @@
 var errNoPeer = errors.New("no other gateway can connect")
 
 // send sends a request to a backend server, on an own connection or through another
-// gateway.
-func (g *Gateway) send(ctx context.Context, b *fleet.BackendServer, r exchange.Request) (response *exchange.Response, isDirect bool, err error) {
+// gateway. If no other gateway can connect, an own connection is tried nevertheless if
+// triesItself is set.
+func (g *Gateway) send(ctx context.Context, b *fleet.BackendServer, triesItself bool, r exchange.Request) (response *exchange.Response, isDirect bool, err error) {
 	now := bootclock.Now()
 	r.Address = b.Address
 	if isDirect = g.isolation.usesOwnConnection(now, g.random()); isDirect {
 		r.Dialed = func(err error) { g.recordDial(b, now, err) }
 	} else {
-		r.Dial = func(ctx context.Context, _ string) (net.Conn, error) { return g.dialThroughPeer(ctx, b) }
+		r.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+			conn, err := g.dialThroughPeer(ctx, b)
+			if err != nil && triesItself && saysNothing(err) && ctx.Err() == nil {
+				return g.dialItself(ctx, b, err)
+			}
+			return conn, err
+		}
 	}
 	response, err = g.exchanges.Do(ctx, r)
 	return response, isDirect, err
 }
 
+// dialItself connects to a backend server on an own connection although this gateway
+// counts as isolated. It returns peerErr if that fails, as before.
+func (g *Gateway) dialItself(ctx context.Context, b *fleet.BackendServer, peerErr error) (net.Conn, error) {
+	started := bootclock.Now()
+	conn, err := g.exchanges.Dial(ctx, b.Address)
+	if err == nil || ctx.Err() == nil {
+		g.recordDial(b, started, err)
+	}
+	if err != nil {
+		return nil, peerErr
+	}
+	return conn, nil
+}
+
 // dialThroughPeer connects to a backend server through another gateway; see saysNothing
 // for its errors.
 func (g *Gateway) dialThroughPeer(ctx context.Context, b *fleet.BackendServer) (net.Conn, error) {
@@ -84,6 +105,13 @@
 	}
 }
 
+// waitForPeers waits until the requests of other gateways have ended whose connections go
+// through this one, or ctx ends.
+func (g *Gateway) waitForPeers(ctx context.Context) {
+	for g.connects.Open() > 0 && sleep(ctx, drainPollInterval) {
+	}
+}
+
 // servePeer serves a call of another gateway.
 func (g *Gateway) servePeer(ctx context.Context, st *wire.Stream, req *wirepb.Envelope) error {
 	connect := req.GetConnect()
