Use pooled connections only at backend servers whose responses name their request

Each such call has a connection of its own now unless the last response of that server named its request; on a pooled connection a response without the name is a mismatch, with an unknown outcome.

That covers the refusal 421 without a name as well, so that the check for it in the entry process, and its test TestRefusalOfAnotherRequestProvesNothing, give way to this one, which checks the same for refusals and for successes, over real connections. Engines had to name requests before.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -55,7 +56,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Idempotent allows the use of a pooled connection.
+	// Idempotent allows the use of a pooled connection if the backend server names the
+	// request in its responses.
 	Idempotent bool
 	// BeforeSend is called as part of the write of the first byte, if it is not
 	// nil. If it returns an error, nothing is sent and the dispatch fails.
@@ -87,8 +89,15 @@
 type Client struct {
 	pooled   *http.Transport
 	unpooled *http.Transport
+
+	mu sync.Mutex
+	// echoing holds the addresses whose last response named its request.
+	echoing map[string]bool
 }
 
+// maxEchoing bounds the addresses that are remembered; beyond it, all are learned anew.
+const maxEchoing = 4096
+
 // NewClient returns a client. If dial is not nil, it replaces the dialer; tests use
 // it to inject faults.
 func NewClient(dial dialFunc) *Client {
@@ -105,7 +114,7 @@
 			DisableCompression:  true,
 		}
 	}
-	c := &Client{pooled: newTransport(), unpooled: newTransport()}
+	c := &Client{pooled: newTransport(), unpooled: newTransport(), echoing: map[string]bool{}}
 	c.unpooled.DisableKeepAlives = true
 	return c
 }
@@ -150,7 +159,12 @@
 		cancel()
 		return nil, &Error{Step: "build request", Backend: r.Backend, Err: err}
 	}
-	resp, err := c.transport(r).RoundTrip(req)
+	isPooled := c.usesPool(r)
+	transport := c.unpooled
+	if isPooled {
+		transport = c.pooled
+	}
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		cancel()
 		if checkError := writeGate.checkError(); checkError != nil {
@@ -159,26 +173,37 @@
 		return nil, &Error{Step: "send request", Backend: r.Backend, Sent: writeGate.sent.Load(), Err: err}
 	}
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
-	if err := checkRequestID(resp, r.ID); err != nil {
+	c.recordEcho(r.Address, resp.Header.Get(RequestIDHeader) != "")
+	if err := checkRequestID(resp, r.ID, isPooled); err != nil {
 		_ = resp.Body.Close()
 		return nil, &Error{Step: "check answer", Backend: r.Backend, Sent: true, Err: err}
 	}
 	return resp, nil
 }
 
-// transport returns the pooled transport for idempotent requests that net/http
-// cannot repeat, which are those with a body, because it cannot be rewound. All
-// other requests use a new connection.
-func (c *Client) transport(r *Request) *http.Transport {
-	if r.IsPooled() {
-		return c.pooled
-	}
-	return c.unpooled
+// usesPool reports whether a request may use a connection that has carried others. That
+// is so for idempotent requests that net/http cannot repeat, which are those with a body,
+// because it cannot be rewound, at backend servers whose responses name their request: a
+// late copy of an earlier response can then be told from the expected one.
+func (c *Client) usesPool(r *Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return r.Idempotent && len(r.Body) > 0 && c.echoing[r.Address]
 }
 
-// IsPooled reports whether the request may use a connection that has carried others. A
-// late copy of an earlier response may then arrive in place of its own.
-func (r *Request) IsPooled() bool { return r.Idempotent && len(r.Body) > 0 }
+// recordEcho records whether a response of a backend server named a request.
+func (c *Client) recordEcho(address string, echoes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !echoes {
+		delete(c.echoing, address)
+		return
+	}
+	if len(c.echoing) >= maxEchoing {
+		clear(c.echoing)
+	}
+	c.echoing[address] = true
+}
 
 func newRequest(ctx context.Context, r *Request) (*http.Request, error) {
 	var body io.Reader
@@ -198,13 +223,15 @@
 }
 
 // checkRequestID returns ErrRequestIDMismatch if the response carries an id other
-// than id. A response without the header is accepted, because the protocol of plain
-// services does not include it; the caller of Do requires it of engines.
-func checkRequestID(resp *http.Response, id string) error {
-	if got := resp.Header.Get(RequestIDHeader); got != "" && got != id {
-		return errors.Annotatef(ErrRequestIDMismatch, "%q instead of %q", got, id)
+// than id. A response without the header is accepted on a connection that has carried no
+// other request, because the protocol of plain services does not include it; the caller
+// of Do requires it of engines.
+func checkRequestID(resp *http.Response, id string, isPooled bool) error {
+	got := resp.Header.Get(RequestIDHeader)
+	if got == id || (got == "" && !isPooled) {
+		return nil
 	}
-	return nil
+	return errors.Annotatef(ErrRequestIDMismatch, "%q instead of %q", got, id)
 }
 
 // cancelBody is a response body that releases the context of the dispatch when it
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -1,7 +1,9 @@
 package backend
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -185,3 +187,81 @@
 		t.Errorf("health check took %v", took)
 	}
 }
+
+// Guards against a caller that gets the response to another request: a server writes an
+// earlier one, a success or a refusal, once more on a connection that is in use again, and
+// doesn't name requests in its responses, or stops to do so.
+func TestRepeatedResponseIsNotTakenForTheNext(t *testing.T) {
+	for name, tc := range map[string]struct {
+		status string
+		names  func(n int) bool
+	}{
+		"success":                 {"200 OK", func(int) bool { return false }},
+		"refusal":                 {"421 Misdirected Request", func(int) bool { return false }},
+		"success, named at first": {"200 OK", func(n int) bool { return n < 3 }},
+		"refusal, named at first": {"421 Misdirected Request", func(n int) bool { return n < 3 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				for n := 0; ; {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					n = repeatResponses(c, n, tc.status, tc.names)
+				}
+			}()
+			client := NewClient(nil)
+			defer client.Close()
+			for i := range 6 {
+				id := fmt.Sprintf("r%d", i)
+				resp, err := client.Do(context.Background(), &Request{
+					Backend: "b1", Address: l.Addr().String(), ID: id, Method: http.MethodPost, Path: "/x", Body: []byte("x"), Idempotent: true,
+				})
+				if err != nil {
+					var failed *Error
+					if !errors.As(err, &failed) || !failed.Sent {
+						t.Fatalf("%s: %v", id, err)
+					}
+					continue
+				}
+				body, _ := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if string(body) != id {
+					t.Fatalf("%s got the response %q", id, body)
+				}
+			}
+		})
+	}
+}
+
+// repeatResponses serves the requests of one connection, of which n were served before. It
+// writes the response to the previous request of the connection before each one, and
+// returns the new n. It ends the connection when it is idle.
+func repeatResponses(c net.Conn, n int, status string, names func(int) bool) int {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	previous := ""
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return n
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get(RequestIDHeader)
+		header := ""
+		if names(n) {
+			header = RequestIDHeader + ": " + id + "\r\n"
+		}
+		n++
+		response := fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(id), id)
+		_, _ = io.WriteString(c, previous+response)
+		previous = response
+	}
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -188,17 +188,16 @@
 	if err != nil {
 		return nil, outcome{step: wirepb.Progress_STEP_NOT_SENT, err: refusal.New(refusal.BadRequest, err.Error())}
 	}
-	request := &backend.Request{
+	resp, err := a.server.backends.Do(a.withRoute(ctx), &backend.Request{
 		Backend: a.member.GetBackend(), Address: a.member.GetAddress(), ID: a.id,
 		Method: a.req.method, Path: a.req.path, Header: a.header(), Body: body,
 		Idempotent: a.req.idempotent, BeforeSend: a.beforeSend,
-	}
-	resp, err := a.server.backends.Do(a.withRoute(ctx), request)
+	})
 	if err != nil {
 		return nil, a.sendErrorOutcome(ctx, err)
 	}
 	a.pause = requestedPause(resp)
-	if out := a.checkStatus(resp, request.IsPooled()); out.err != nil {
+	if out := a.checkStatus(resp); out.err != nil {
 		_ = resp.Body.Close()
 		return nil, out
 	}
@@ -297,15 +296,8 @@
 // checkStatus returns an outcome with an error if the engine rejected the request.
 // Responses of plain services are forwarded with any status except StatusWrongBoot,
 // with which the backend server states that the request was granted for another
-// boot and was not run. On a pooled connection it must name the request: it may be a late
-// copy of an earlier response.
-func (a *attempt) checkStatus(resp *http.Response, isPooled bool) outcome {
-	if resp.StatusCode == announce.StatusWrongBoot && isPooled && resp.Header.Get(backend.RequestIDHeader) != a.id {
-		return outcome{
-			sent: true, step: wirepb.Progress_STEP_CANCELLED, excluded: a.member.GetBackend(),
-			err: refusal.NewUnknown(refusal.BackendFailed, "backend server has restarted since the grant, or repeats an earlier answer"),
-		}
-	}
+// boot and was not run.
+func (a *attempt) checkStatus(resp *http.Response) outcome {
 	if resp.StatusCode == announce.StatusWrongBoot {
 		return outcome{
 			step: wirepb.Progress_STEP_REFUSED, excluded: a.member.GetBackend(),
