--- a/internal/configsync/rotation.go
+++ b/internal/configsync/rotation.go
@@ -11,9 +11,9 @@
 // least recently. State processes come and go between two attempts, so a position in
 // their list may name the process that has just failed.
 type rotation struct {
-	// entryID orders the processes that were never tried, differently at each process,
-	// which spreads the load.
-	entryID string
+	// start is where in the list the processes that were never tried begin. It differs by
+	// process, which spreads the load.
+	start uint64
 	// tried is the number of the last attempt at each address, and attempts that of the
 	// last attempt of all.
 	tried    map[string]uint64
@@ -24,26 +24,22 @@
 }
 
 func newRotation(entryID string) *rotation {
-	return &rotation{entryID: entryID, tried: map[string]uint64{}}
+	return &rotation{start: xxhash.Sum64String(entryID), tried: map[string]uint64{}}
 }
 
 // next returns the address to try now and records the attempt. It requires at least one
 // address.
 func (r *rotation) next(addresses []string) string {
 	r.forget(addresses)
-	address := slices.MinFunc(addresses, func(a, b string) int {
-		return cmp.Or(cmp.Compare(r.tried[a], r.tried[b]), cmp.Compare(r.rank(a), r.rank(b)))
+	first := int(r.start % uint64(len(addresses)))
+	address := slices.MinFunc(slices.Concat(addresses[first:], addresses[:first]), func(a, b string) int {
+		return cmp.Compare(r.tried[a], r.tried[b])
 	})
 	r.attempts++
 	r.tried[address] = r.attempts
 	return address
 }
 
-// rank orders addresses that were never tried.
-func (r *rotation) rank(address string) uint64 {
-	return xxhash.Sum64String(r.entryID + "\x00" + address)
-}
-
 // forget bounds the number of addresses kept: it drops the unlisted one that was tried
 // least recently.
 func (r *rotation) forget(listed []string) {
