Bound the connections for other processes by memory

512 connections whose readers all stop would have taken 128 MB of receive windows, more than half of a gateway's 184 MB. They may take a quarter of the memory now: 173 at 184 MB.

--- a/internal/entry/isolation.go
+++ b/internal/entry/isolation.go
@@ -189,8 +189,8 @@
 // newPeerServer returns the server that connects for other entry processes, with dial.
 func (s *Server) newPeerServer(dial func(context.Context, string, string) (net.Conn, error)) *peerconn.Server {
 	return &peerconn.Server{
-		Allows: s.allowsConnect,
-		Dial:   func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
+		Max: peerconn.MaxConnections(0), Allows: s.allowsConnect,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
 	}
 }
 
--- a/internal/gateway/peerconn.go
+++ b/internal/gateway/peerconn.go
@@ -99,7 +99,7 @@
 // newPeerServer returns the server that connects for other gateways.
 func (g *Gateway) newPeerServer() *peerconn.Server {
 	return &peerconn.Server{
-		Allows: g.allowsConnect,
+		Max: peerconn.MaxConnections(g.settings.MemoryMB), Allows: g.allowsConnect,
 		Dial:   func(ctx context.Context, address string) (net.Conn, error) { return g.exchanges.Dial(ctx, address) },
 		Dialed: func(target peerconn.Target, err error) { g.dialedByPeer(g.members.backend(target.ID), err) },
 	}
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -26,9 +26,14 @@
 )
 
 const (
-	// MaxConnections bounds the connections that a process holds for its peers. Each
-	// takes two descriptors and two buffers.
-	MaxConnections = 512
+	// defaultMaxConnections bounds the connections that a process holds for its peers if
+	// its memory is not known.
+	defaultMaxConnections = 512
+	// connectionBytes is what a connection takes at most: the receive window of its
+	// stream, and a buffer for each direction. memoryShare is the share of the memory of
+	// the process that all of them may take.
+	connectionBytes = 256<<10 + 2*bufferBytes
+	memoryShare     = 0.25
 	// dialTimeout bounds the dial of the peer, and callTimeout the whole call, with a
 	// session to be opened.
 	dialTimeout = 300 * time.Millisecond
@@ -130,6 +135,8 @@
 
 // Server serves Connect calls of peers.
 type Server struct {
+	// Max bounds the open connections; see MaxConnections.
+	Max int64
 	// Allows returns why a call of a peer for a target is refused, or nil. A process must
 	// not connect strangers, or to addresses that are none of a backend server.
 	Allows func(peer wire.Peer, target Target) error
@@ -141,6 +148,15 @@
 	open atomic.Int64
 }
 
+// MaxConnections returns the number of connections that a process with a memory in MiB may
+// hold for its peers; 0 stands for an unknown memory.
+func MaxConnections(memoryMB int64) int64 {
+	if memoryMB <= 0 {
+		return defaultMaxConnections
+	}
+	return min(defaultMaxConnections, max(1, int64(memoryShare*float64(memoryMB<<20))/connectionBytes))
+}
+
 // Open returns the number of open connections.
 func (s *Server) Open() int64 { return s.open.Load() }
 
@@ -149,8 +165,8 @@
 func (s *Server) Serve(ctx context.Context, st *wire.Stream, req *wirepb.Connect) error {
 	defer s.open.Add(-1)
 	target := Target{ID: req.GetBackendServer(), Address: req.GetAddress()}
-	if s.open.Add(1) > MaxConnections {
-		return s.refuse(st, codeUnavailable, errors.Errorf("%d connections for peers are open", MaxConnections))
+	if s.open.Add(1) > s.Max {
+		return s.refuse(st, codeUnavailable, errors.Errorf("%d connections for peers are open", s.Max))
 	}
 	if err := s.Allows(st.Peer(), target); err != nil {
 		return s.refuse(st, codeUnavailable, err)
--- a/internal/peerconn/peerconn_test.go
+++ b/internal/peerconn/peerconn_test.go
@@ -31,6 +31,7 @@
 func newPeer(t *testing.T) *peer {
 	t.Helper()
 	p := &peer{}
+	p.Max = MaxConnections(0)
 	p.Allows = func(wire.Peer, Target) error { return nil }
 	p.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return wire.Dialer().DialContext(ctx, "tcp", address)
@@ -147,7 +148,7 @@
 		"backend server refuses":       {func(*peer) {}, nobody, false, true},
 		"backend server is silent":     {func(p *peer) { p.Dial = hang }, live, false, false},
 		"peer doesn't allow it":        {func(p *peer) { p.Allows = forbid }, live, true, false},
-		"peer has no room":             {func(p *peer) { p.open.Store(MaxConnections) }, live, true, false},
+		"peer has no room":             {func(p *peer) { p.open.Store(p.Max) }, live, true, false},
 		"peer is gone":                 {func(p *peer) { _ = p.wire.Close() }, live, true, false},
 		"peer doesn't respond in time": {func(p *peer) { p.Allows = slow }, live, true, false},
 	} {
@@ -231,3 +232,14 @@
 		t.Fatalf("the connection has ended: %v", err)
 	}
 }
+
+// Guards against connections for peers that take the memory of the process when backend
+// servers or callers stop reading.
+func TestConnectionsFitTheMemory(t *testing.T) {
+	for _, megabytes := range []int64{1, 184, 284, 100_000} {
+		n := MaxConnections(megabytes)
+		if n < 1 || n > defaultMaxConnections || (megabytes > 1 && n*connectionBytes > megabytes<<20/4) {
+			t.Errorf("%d MiB: %d connections", megabytes, n)
+		}
+	}
+}
