--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -277,6 +277,7 @@
 	}
 	a.sent = now
 	r.attempts++
+	// While the request is being sent, the attempt may be moved already.
 	a.isDirect.Store(!g.isolation.isIsolated())
 	response, isDirect, err := g.send(ctx, a.pick.backend, len(r.tried) == 0, exchange.Request{
 		Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
