--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -32,6 +32,8 @@
 	pathRefuses
 	// pathLivesOn: new connections are refused, and open ones work.
 	pathLivesOn
+	// pathIsBusy: new connections time out, as in a burst, and open ones work.
+	pathIsBusy
 )
 
 // path is the path of one gateway to all backend servers.
@@ -57,7 +59,7 @@
 func (p *path) dial(ctx context.Context, address string) (net.Conn, error) {
 	const dialTimeout = 300 * time.Millisecond
 	switch p.current() {
-	case pathVanishes:
+	case pathVanishes, pathIsBusy:
 		sleep(ctx, dialTimeout)
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: context.DeadlineExceeded}
 	case pathRefuses, pathLivesOn:
@@ -429,3 +431,31 @@
 		t.Errorf("the refusal took %v", took)
 	}
 }
+
+// Guards against a burst that is taken for a lost path: connections to several backend
+// servers time out, while responses arrive on own connections all the time.
+func TestBurstIsNoLostPath(t *testing.T) {
+	s := newIsolationSetup(t, 1)
+	s.addEverywhere(4, echo)
+	const events = 30
+	s.add("engine", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		for i := range events {
+			sendEvents(w, i+1, i+1)
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _, _ = s.call("/stream/x", "X-Prompt", "100")
+	}()
+	time.Sleep(200 * time.Millisecond)
+	s.path.set(pathIsBusy)
+	s.callMany("/once/x", 1)
+	if s.g.isolation.isIsolated() {
+		t.Error("the gateway takes connections that time out for a lost path")
+	}
+	s.path.set(pathWorks)
+	<-ended
+}
