--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -144,26 +143,6 @@
 	}
 }
 
-// memoryMB returns the resident memory of the process in MiB, or 0 if it has ended.
-func (p *process) memoryMB() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return 0
-	}
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.Atoi(strings.Fields(value)[0])
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
 // start starts all processes.
 func (d *deployment) start() error {
 	for _, p := range append(append([]*process{}, d.controls...), d.gateways...) {
--- a/review/rig/lateorder.go
+++ b/review/rig/lateorder.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -40,43 +38,6 @@
 	return 0, fmt.Errorf("no follower found")
 }
 
-// runs records when the backend server of each failure domain last ran a request.
-type runs struct {
-	mu   sync.Mutex
-	last map[string]time.Time
-}
-
-func (r *runs) add(domain string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.last[domain] = time.Now()
-}
-
-func (r *runs) lastAt(domain string) time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.last[domain]
-}
-
-// startServers starts a sound backend server in each failure domain.
-func (d *deployment) startServers(ran *runs, stop chan struct{}) ([]*plainServer, error) {
-	var servers []*plainServer
-	for i, domain := range domains {
-		l, err := net.Listen("tcp", d.controls[i].ip+":0")
-		if err != nil {
-			return nil, err
-		}
-		s := &plainServer{id: fmt.Sprintf("i-%d", i+1), pacer: &pacer{}, rec: d.record}
-		if ran != nil {
-			s.ran = func(string) { ran.add(domain) }
-		}
-		servers = append(servers, s)
-		go s.serve(l)
-		go d.announce(s.id, l.Addr().String(), domain, stop)
-	}
-	return servers, nil
-}
-
 // sendAll sends requests through all gateways until stop is closed.
 func (d *deployment) sendAll(stop chan struct{}) {
 	for g := range d.gateways {
@@ -115,7 +76,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	ran := &runs{last: map[string]time.Time{}}
-	if _, err := d.startServers(ran, stop); err != nil {
+	if err := d.startServers(ran, stop); err != nil {
 		return false, err
 	}
 	if err := d.waitReady(); err != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -13,8 +13,8 @@
 
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"endless":   endless,
 	"lateorder": lateOrder,
+	"truncated": truncated,
 }
 
 func main() {
