--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -77,17 +77,28 @@
 	return d, nil
 }
 
-// freePorts returns the first of four ports that are free on an address.
+// metricsPort is the port of metrics and of the state dump in the deploy file.
+const metricsPort = 9464
+
+// freePorts returns the first of four ports that are free on an address, together with the
+// port of metrics.
 func freePorts(ip string) (int, error) {
 	for range 50 {
 		port := 20000 + rand.IntN(10000)
-		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
-		if err == nil {
-			_ = l.Close()
+		if isFree(ip, metricsPort) && isFree(ip, port) && isFree(ip, port+1) && isFree(ip, port+2) && isFree(ip, port+3) {
 			return port, nil
 		}
 	}
-	return 0, fmt.Errorf("no free port on %s", ip)
+	return 0, fmt.Errorf("no free ports on %s", ip)
+}
+
+func isFree(ip string, port int) bool {
+	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
 }
 
 func (d *deployment) newProcess(kind, ip string, settings map[string]any) *process {
