--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -126,7 +127,7 @@
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	// The process ends with this one, however this one ends.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
+	if err := startOnOneThread(p.cmd); err != nil {
 		return err
 	}
 	p.exited = make(chan struct{})
@@ -137,6 +138,26 @@
 	return nil
 }
 
+// starter runs the functions that it is given on one thread that never ends: a process
+// that ends with its parent does so when the thread that started it ends.
+var starter = sync.OnceValue(func() chan func() {
+	work := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range work {
+			f()
+		}
+	}()
+	return work
+})
+
+// startOnOneThread starts a process.
+func startOnOneThread(cmd *exec.Cmd) error {
+	started := make(chan error)
+	starter() <- func() { started <- cmd.Start() }
+	return <-started
+}
+
 // signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
