peerconn: state the orderly end of a backend server's connection

Cause: a stream of yamux has no reset. The end of the stream was io.EOF whether the backend server had closed or reset its connection, the other gateway had ended, its session was lost, or this side had closed the stream at the deadline. A body that ends with its connection is complete at io.EOF.

Ruled out: responses with a length or chunks, whose truncation net/http detects; direct connections, where a reset is ECONNRESET and a close on this side net.ErrClosed (the same table passes there before and after); streams of entry processes, complete at their terminal event only. Plain responses of an entry process through a dispatcher use the same code and had the fault too.

Change: protocol version 4. The peer sends the bytes in frames, and an empty frame once it has read an orderly end from the backend server. Every other end reads as ErrBroken. Beside an earlier build: one that connects for us states no end, so a response that ends with its connection isn't taken as whole through it; one that asks us gets silence in place of an end after a reset.

--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -104,6 +104,8 @@
 	*setup
 	path   *path
 	others []*setup
+	// servers are the wire servers of the others.
+	servers []*wire.Server
 }
 
 func newIsolationSetup(t *testing.T, others int) *isolationSetup {
@@ -127,6 +129,7 @@
 		s.g.members.know(other.g.settings.ID, server.Address())
 		other.g.members.know(s.g.settings.ID, "127.0.0.1:9")
 		s.others = append(s.others, other)
+		s.servers = append(s.servers, server)
 	}
 	return s
 }
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -2,7 +2,9 @@
 // kind, for a process that has lost its own path to them.
 //
 // The peer opens a connection to the backend server and passes bytes on in both
-// directions, with the back pressure of both sides; it neither parses nor keeps them. The
+// directions, with the back pressure of both sides; it neither parses nor keeps them. It
+// also states whether the backend server has ended its connection in an orderly way, as a
+// response may be complete only then; see frame.go. The
 // request, its deadline, its retries and its outcome stay with the process that asks, so
 // that a connection that was not made proves that nothing was sent. The peer connects
 // directly or not at all, so that there is never a second hop. The package chooses
@@ -30,15 +32,16 @@
 	// its memory is not known.
 	defaultMaxConnections = 512
 	// connectionBytes is what a connection takes at most: the receive window of its
-	// stream, and a buffer for each direction. memoryShare is the share of the memory of
-	// the process that all of them may take.
-	connectionBytes = 256<<10 + 2*bufferBytes
+	// stream, a buffer for each direction, and a frame. memoryShare is the share of the
+	// memory of the process that all of them may take.
+	connectionBytes = 256<<10 + 3*bufferBytes
 	memoryShare     = 0.25
 	// dialTimeout bounds the dial of the peer, and callTimeout the whole call, with a
 	// session to be opened.
 	dialTimeout = 300 * time.Millisecond
 	callTimeout = 600 * time.Millisecond
-	// bufferBytes is the size of the buffer of each direction.
+	// bufferBytes is the size of the buffer of each direction. It must fit the header of a
+	// frame.
 	bufferBytes = 8 << 10
 )
 
@@ -52,6 +55,7 @@
 var (
 	accepted   = metrics.GetOrCreateCounter(`bilberry_peer_connections_accepted_total`)
 	refused    = metrics.GetOrCreateCounter(`bilberry_peer_connections_refused_total`)
+	broken     = metrics.GetOrCreateCounter(`bilberry_peer_connections_broken_total`)
 	bytesMoved = metrics.GetOrCreateCounter(`bilberry_peer_connection_bytes_total`)
 )
 
@@ -72,6 +76,9 @@
 // or a timeout passes. The connection outlives ctx, but not lifetime. The error is a
 // *PeerError, or states that the peer couldn't connect: it then wraps
 // syscall.ECONNREFUSED if the backend server refuses connections.
+//
+// Reading from the connection returns io.EOF only if the backend server has ended it in
+// an orderly way, and ErrBroken at any other end.
 func Dial(ctx, lifetime context.Context, client *wire.Client, target Target) (net.Conn, error) {
 	callCtx, cancel := context.WithCancel(lifetime)
 	// The stream ends with callCtx, so the limits of the call must not end it later.
@@ -130,7 +137,10 @@
 		_ = st.Close()
 		return nil, err
 	}
-	return st.Conn(), nil
+	if st.Peer().Version < minFramedVersion {
+		return unframedConn{st.Conn()}, nil
+	}
+	return &framedConn{Conn: st.Conn()}, nil
 }
 
 // Server serves Connect calls of peers.
@@ -188,7 +198,7 @@
 		return errors.Trace(err)
 	}
 	accepted.Inc()
-	pass(ctx, st.Conn(), conn)
+	pass(ctx, caller{st.Conn(), st.Peer().Version >= minFramedVersion}, conn)
 	return nil
 }
 
@@ -198,38 +208,67 @@
 	return st.Send(wire.FailureEnvelope("connect", code, err))
 }
 
-// pass copies between two connections until one of them ends or ctx does, and closes
-// both: an end must not look like silence to the other side.
-func pass(ctx context.Context, a, b net.Conn) {
+// caller is the connection of the process that asked for one to a backend server.
+type caller struct {
+	net.Conn
+	// readsFrames is set if it reads frames.
+	readsFrames bool
+}
+
+// pass copies between a caller and a backend server until one of them ends or ctx does,
+// and closes both: an end must not look like silence to the other side. Only a caller
+// that doesn't read frames must wait, until it gives up, if the backend server broke off:
+// it would take the end for an orderly one.
+func pass(ctx context.Context, to caller, from net.Conn) {
 	closeBoth := sync.OnceFunc(func() {
-		_ = a.Close()
-		_ = b.Close()
+		_ = to.Close()
+		_ = from.Close()
 	})
 	defer context.AfterFunc(ctx, closeBoth)()
 	var wg sync.WaitGroup
-	for _, direction := range [][2]net.Conn{{a, b}, {b, a}} {
-		wg.Go(func() {
-			defer closeBoth()
-			copyBytes(direction[0], direction[1])
-		})
-	}
+	wg.Go(func() {
+		isOrderly := copyResponse(to, from)
+		if isOrderly || to.readsFrames {
+			closeBoth()
+		}
+	})
+	wg.Go(func() {
+		defer closeBoth()
+		if copyBytes(from, to) != nil && !to.readsFrames {
+			_, _ = io.Copy(io.Discard, to)
+		}
+	})
 	wg.Wait()
 }
 
-// copyBytes copies until one side fails or ends. It has a buffer of its own, as
-// io.Copy would take one of 32 KiB.
-func copyBytes(to io.Writer, from io.Reader) {
+// copyResponse copies from a backend server to a caller until one of them ends. It
+// reports whether the backend server has ended in an orderly way, and tells a caller that
+// reads frames.
+func copyResponse(to caller, from net.Conn) (isOrderly bool) {
+	if !to.readsFrames {
+		return copyBytes(to, from) == nil
+	}
+	frames := &frameWriter{w: to}
+	return copyBytes(frames, from) == nil && frames.end() == nil
+}
+
+// copyBytes copies until one side ends, and returns nil if from has ended in an orderly
+// way. It has a buffer of its own, as io.Copy would take one of 32 KiB.
+func copyBytes(to io.Writer, from io.Reader) error {
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
 			bytesMoved.Add(n)
 			if _, werr := to.Write(buf[:n]); werr != nil {
-				return
+				return errors.Trace(werr)
 			}
 		}
+		if err == io.EOF {
+			return nil
+		}
 		if err != nil {
-			return
+			return errors.Trace(err)
 		}
 	}
 }
--- a/internal/peerconn/peerconn_test.go
+++ b/internal/peerconn/peerconn_test.go
@@ -243,3 +243,127 @@
 		}
 	}
 }
+
+// reads returns what is read from conn until its end, and the error of the end.
+func reads(t *testing.T, conn net.Conn) (string, error) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	var data []byte
+	buf := make([]byte, 1<<10)
+	for {
+		n, err := conn.Read(buf)
+		data = append(data, buf[:n]...)
+		if err != nil {
+			return string(data), err
+		}
+	}
+}
+
+// Guards against an end of the way through a peer that looks like the orderly end of the
+// backend server: a truncated response that ends with its connection would count as whole.
+func TestOnlyTheBackendServerEndsTheResponse(t *testing.T) {
+	const part = "a part of the response"
+	for name, test := range map[string]struct {
+		// end ends the connection of the backend server, or something else on the way.
+		end       func(p *peer, backendConn net.Conn, conn net.Conn)
+		isOrderly bool
+	}{
+		"backend server closes": {func(_ *peer, b, _ net.Conn) { _ = b.Close() }, true},
+		"backend server resets": {func(_ *peer, b, _ net.Conn) {
+			_ = b.(*net.TCPConn).SetLinger(0)
+			_ = b.Close()
+		}, false},
+		"peer ends":                {func(p *peer, _, _ net.Conn) { _ = p.wire.Close() }, false},
+		"session ends":             {func(p *peer, _, _ net.Conn) { _ = p.client.Close() }, false},
+		"caller closes its stream": {func(_ *peer, _, c net.Conn) { _ = c.Close() }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPeer(t)
+			backendConns := make(chan net.Conn, 1)
+			conn, err := Dial(t.Context(), t.Context(), p.client, backend(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, part)
+				backendConns <- c
+			}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			got := make([]byte, len(part))
+			if _, err := io.ReadFull(conn, got); err != nil || string(got) != part {
+				t.Fatalf("read %q: %v", got, err)
+			}
+			backendConn := <-backendConns
+			defer backendConn.Close()
+			test.end(p, backendConn, conn)
+			if rest, err := reads(t, conn); rest != "" || (err == io.EOF) != test.isOrderly || isTimeout(err) {
+				t.Fatalf("read %q and then %v, expected an orderly end: %v", rest, err, test.isOrderly)
+			}
+		})
+	}
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// Guards against an end that looks orderly while gateways of two builds run side by side:
+// the earlier one neither sends nor reads frames.
+func TestEndsBesideAnEarlierBuild(t *testing.T) {
+	const part = "a part of the response"
+	for name, test := range map[string]struct {
+		isCallerEarlier, isReset bool
+		// isOrderly states what is read, if anything is.
+		isOrderly, isSilent bool
+	}{
+		// An earlier peer ends its stream in the same way if the backend server resets.
+		"peer is earlier":                          {false, false, false, false},
+		"caller is earlier, backend server closes": {true, false, true, false},
+		"caller is earlier, backend server resets": {true, true, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPeer(t)
+			earlier := wire.Options{HighestVersion: minFramedVersion - 1, Self: wire.Identity{Kind: wire.KindEntry, ID: "earlier"}}
+			_ = p.client.Close()
+			p.client = wire.NewClient(p.wire.Address(), earlier)
+			dial := Dial
+			if test.isCallerEarlier {
+				dial = dialOfEarlierBuild
+			}
+			conn, err := dial(t.Context(), t.Context(), p.client, backend(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, part)
+				if test.isReset {
+					time.Sleep(100 * time.Millisecond)
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				_ = c.Close()
+			}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+			got, err := io.ReadAll(conn)
+			if string(got) != part || (err == nil) != test.isOrderly || isTimeout(err) != test.isSilent {
+				t.Fatalf("read %q and then %v, expected an orderly end: %v, silence: %v", got, err, test.isOrderly, test.isSilent)
+			}
+			_ = conn.Close()
+			for end := time.Now().Add(5 * time.Second); p.Open() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%d connections stay open", p.Open())
+				}
+			}
+		})
+	}
+}
+
+// dialOfEarlierBuild is Dial as the build before protocol version 4 has it.
+func dialOfEarlierBuild(ctx, lifetime context.Context, client *wire.Client, target Target) (net.Conn, error) {
+	conn, err := Dial(ctx, lifetime, client, target)
+	if err != nil {
+		return nil, err
+	}
+	return conn.(closingConn).Conn.(unframedConn).Conn, nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -30,7 +30,7 @@
 // Range of protocol versions that this build supports.
 const (
 	LowestVersion  = 1
-	HighestVersion = 3
+	HighestVersion = 4
 )
 
 const (
