control: a late copy of an evacuation doesn't undo a newer one

Cause: an order got its number when it was applied, so any copy that was applied late was the newest. What should have kept it out, the context of the caller, ends some time after the handler has begun.

Ruled out: manifests and orders of bilberryctl (they have numbers); a copy within one process (the commands have ids).

Change: SetDomain reads the number in force by a linearizable read (stateserver.NewestConfig), requires that the caller still waits (connection not ended, not older than 0.7 s, counted from the begin of a stall that has just ended), and proposes the number read + 1. Conditions that are checked when the order is applied don't depend on time; the check of the caller keeps out copies that began before and read later. Orders that others have overtaken begin again. Replicas of both builds apply the same entries, and the read is a query that earlier builds answer.

--- /dev/null
+++ b/internal/control/caller.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/wire"
+)
+
+const (
+	// maxCallAge is the age up to which a caller surely waits for the response: callers
+	// move on after a second. What is left of it covers the way of the call and
+	// maxTickGap.
+	maxCallAge = 700 * time.Millisecond
+	// stallTickInterval is the time between two readings of the clock that show that the
+	// process runs, and maxTickGap the longest that counts as running.
+	stallTickInterval = 50 * time.Millisecond
+	maxTickGap        = 200 * time.Millisecond
+	// settleTime is the time after a stall in which calls are handled that arrived
+	// during it.
+	settleTime = 500 * time.Millisecond
+)
+
+// call is a call of an operator that is being handled.
+type call struct {
+	ctx  context.Context
+	conn net.Conn
+	// arrivedAfter is the earliest time at which the call may have arrived.
+	arrivedAfter time.Duration
+}
+
+// connKey is the key of the connection of the caller in a context.
+type connKey struct{}
+
+// WithCallerConn returns a context with the connection of a caller, for the ConnContext
+// of an http.Server.
+func WithCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// newCall returns the call whose handler begins now.
+func (s *Service) newCall(ctx context.Context) *call {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return &call{ctx: ctx, conn: conn, arrivedAfter: s.stalls.earliestArrival(bootclock.Now())}
+}
+
+// mustWait returns an error unless the caller surely waited for the response at now. The
+// context alone doesn't tell: it ends some time after the caller has closed its
+// connection, and a close may be lost on the way.
+func (c *call) mustWait(now time.Duration) error {
+	switch {
+	case c.ctx.Err() != nil || (c.conn != nil && wire.StateOf(c.conn) == wire.SocketEnded):
+		return errors.New("the caller has left")
+	case now-c.arrivedAfter > maxCallAge:
+		return errors.Errorf("the call may have arrived %v ago, and its caller has moved on", now-c.arrivedAfter)
+	}
+	return nil
+}
+
+// stalls records the last time in which the process didn't run. What arrives meanwhile
+// waits in the sockets, and the time at which it is read doesn't tell its age.
+type stalls struct {
+	mu sync.Mutex
+	// isRunning is set once tick is called at intervals.
+	isRunning bool
+	lastTick  time.Duration
+	// from and to are the begin and the end of the last stall. Stalls that follow each
+	// other within settleTime are one.
+	from, to time.Duration
+}
+
+// run calls tick at intervals until ctx ends.
+func (s *stalls) run(ctx context.Context) {
+	ticker := time.NewTicker(stallTickInterval)
+	defer ticker.Stop()
+	for {
+		s.tick(bootclock.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// tick records that the process runs.
+func (s *stalls) tick(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordRunning(now)
+	s.isRunning = true
+}
+
+// recordRunning is tick for a caller that holds mu.
+func (s *stalls) recordRunning(now time.Duration) {
+	if s.isRunning && now-s.lastTick > maxTickGap {
+		if s.to == 0 || s.lastTick-s.to > settleTime {
+			s.from = s.lastTick
+		}
+		s.to = now
+	}
+	s.lastTick = now
+}
+
+// earliestArrival returns the earliest time at which a call may have arrived that is
+// handled from now on.
+func (s *stalls) earliestArrival(now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isRunning {
+		s.recordRunning(now)
+	}
+	if s.to != 0 && now-s.to < settleTime {
+		return s.from
+	}
+	return now
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -24,7 +24,6 @@
 	"golang.org/x/sync/singleflight"
 
 	"bilberryhub/internal/bootclock"
-	"bilberryhub/internal/config"
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/fleetfeed"
 	"bilberryhub/internal/stateserver"
@@ -57,6 +56,10 @@
 	// Propose proposes cmd and returns its result. If there is none, code is the
 	// failure code and message describes the failure; otherwise code is empty.
 	Propose(ctx context.Context, cmd *wirepb.Command) (result *wirepb.Result, code, message string)
+	// NewestConfig returns a configuration that is at least as new as each one that was
+	// in force when the call began. If there is none, code is the failure code and reason
+	// describes the failure.
+	NewestConfig(ctx context.Context) (newest *wirepb.ConfigSnapshot, code, reason string)
 	// Config returns the configuration applied at this process.
 	Config() *wirepb.ConfigSnapshot
 	// Fresh reports whether Config is proven to be the newest accepted configuration.
@@ -83,6 +86,9 @@
 	// changes are the changes in progress, by the digest of their document.
 	changes singleflight.Group
 
+	// stalls are the times in which the process didn't run.
+	stalls stalls
+
 	// source caches the document of the manifest at log index sourceIndex. Both are
 	// guarded by sourceMu.
 	sourceMu    sync.Mutex
@@ -161,25 +167,6 @@
 	}
 }
 
-// SetDomain puts a failure domain in or out of service. A repeated call changes
-// nothing. Unlike the application of a manifest, an order is abandoned when ctx
-// ends: it has no number of its own, so that a delayed order could undo a newer one.
-// Errors are *InvalidError, ErrUnavailable or ErrUnknownOutcome.
-func (s *Service) SetDomain(ctx context.Context, domain string, out bool) error {
-	result, err := s.propose(ctx, &wirepb.Command{Body: &wirepb.Command_Order{
-		Order: &wirepb.Order{Kind: config.TargetFailureDomain, Target: domain, Out: out, Next: true},
-	}})
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if result.GetCode() != "" {
-		return &InvalidError{result.GetMessage()}
-	}
-	s.log.Info("order for failure domain accepted", zap.String("failure_domain", domain), zap.Bool("out", out),
-		zap.Uint64("number", result.GetNumberInForce()), zap.Uint64("index", result.GetIndex()))
-	return nil
-}
-
 // propose submits a command with a new random id to the replicated state. Errors are
 // ErrUnavailable or ErrUnknownOutcome.
 func (s *Service) propose(ctx context.Context, cmd *wirepb.Command) (*wirepb.Result, error) {
--- a/internal/control/peers_test.go
+++ b/internal/control/peers_test.go
@@ -20,6 +20,10 @@
 func (f *fakeState) Propose(context.Context, *wirepb.Command) (*wirepb.Result, string, string) {
 	return nil, "unavailable", "not part of the test"
 }
+
+func (f *fakeState) NewestConfig(context.Context) (*wirepb.ConfigSnapshot, string, string) {
+	return nil, "unavailable", "not part of the test"
+}
 func (f *fakeState) Config() *wirepb.ConfigSnapshot { return &wirepb.ConfigSnapshot{} }
 func (f *fakeState) Fresh() bool                    { return false }
 func (f *fakeState) Addresses() []string            { return f.addresses }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -45,12 +45,16 @@
 	service  *Service
 	server   *http.Server
 	state    *stateserver.Server
+	// stopped ends when the process has stopped.
+	stopped    context.Context
+	setStopped context.CancelFunc
 }
 
 // StartProcess starts the state replica and the HTTP server for operators, whose
 // handler newHandler returns. It ends early, with an error, only if ctx ends.
 func StartProcess(ctx context.Context, s Settings, newHandler func(*Service) http.Handler, log *zap.Logger) (*Process, error) {
 	p := &Process{settings: s, log: log, service: New(log)}
+	p.stopped, p.setStopped = context.WithCancel(context.Background())
 	if err := p.startState(ctx); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -60,11 +64,13 @@
 	}
 	p.server = &http.Server{
 		Handler: newHandler(p.service), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: errorLog,
+		ConnContext: WithCallerConn,
 	}
 	l, err := wire.ListenConfig().Listen(context.Background(), "tcp", s.OperatorListen)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for operators on %s", s.OperatorListen)
 	}
+	go p.service.stalls.run(p.stopped)
 	go func() {
 		if err := p.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			log.Error("HTTP server for operators failed", observe.Error(err))
@@ -98,6 +104,7 @@
 // its place, empties its data directory and joins again: its data is no longer valid,
 // and the other replicas have everything that was accepted.
 func (p *Process) Run(ctx context.Context) error {
+	defer p.setStopped()
 	peers, stopPeers := context.WithCancel(ctx)
 	defer stopPeers()
 	go p.service.followPeers(peers, p.settings.peerAddress(), p.settings.wireOptions())
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -24,7 +24,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"bilberryhub/internal/wire"
 )
@@ -260,24 +259,7 @@
 }
 
 // isIdle reports whether the connection is open and has nothing to read.
-func (c *conn) isIdle() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || c.r.Buffered() > 0 {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isIdle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isIdle = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && isIdle
-}
+func (c *conn) isIdle() bool { return c.r.Buffered() == 0 && wire.StateOf(c.Conn) == wire.SocketQuiet }
 
 // Probe dials a backend server and adds the connection to the pool, for a later
 // request. It returns a *NotSentError if the dial fails or times out; the timeout
--- a/internal/statemachine/configuration.go
+++ b/internal/statemachine/configuration.go
@@ -100,7 +100,8 @@
 }
 
 // withNextNumber returns a copy of the order with the number that follows that of
-// the order in force, or with the same number if the order changes nothing.
+// the order in force, or with the same number if the order changes nothing. Only
+// processes of earlier builds propose such orders; an order of this build has a number.
 func withNextNumber(o, old *wirepb.Order) *wirepb.Order {
 	n := proto.CloneOf(o)
 	n.Next, n.Number = false, old.GetNumber()+1
--- a/internal/stateserver/query.go
+++ b/internal/stateserver/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -48,6 +49,59 @@
 	return reply(st, "query claim", s.callLeader(ctx, newMessage, forward))
 }
 
+// NewestConfig returns a configuration that is at least as new as each one that any
+// replica had reported before the call. If there is none, code is a failure code and
+// reason explains it.
+//
+// A leader with a valid lease states the index that it has applied, and this replica
+// waits until it has applied that as well. The leader is asked for a claim that doesn't
+// exist: all builds answer this query.
+func (s *Server) NewestConfig(ctx context.Context) (newest *wirepb.ConfigSnapshot, code, reason string) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.ProposeTimeout)
+	defer cancel()
+	newMessage := func(ch chan<- outcome) message { return claimQuery{reply: ch} }
+	o := s.callLeader(ctx, newMessage, &wirepb.Envelope{Body: &wirepb.Envelope_ClaimQuery{ClaimQuery: &wirepb.ClaimQuery{}}})
+	if o.code != "" {
+		return nil, o.code, o.message
+	}
+	for {
+		reply := make(chan *wirepb.ConfigSnapshot, 1)
+		if !s.enqueue(ctx, configQuery{index: o.result.GetIndex(), reply: reply}) {
+			break
+		}
+		select {
+		case newest := <-reply:
+			if newest != nil {
+				return newest, "", ""
+			}
+		case <-ctx.Done():
+		case <-s.ctx.Done():
+		}
+		if !sleep(ctx, appliedPollInterval) {
+			break
+		}
+	}
+	return nil, codeNoLeader, "the replica has not applied all entries in time"
+}
+
+// appliedPollInterval is the pause between two checks whether an entry is applied.
+const appliedPollInterval = 5 * time.Millisecond
+
+// configQuery requests the configuration if the entry at index is applied, and nil
+// otherwise.
+type configQuery struct {
+	index uint64
+	reply chan<- *wirepb.ConfigSnapshot
+}
+
+func (m configQuery) handle(l *loop) {
+	if l.applied < m.index {
+		m.reply <- nil
+		return
+	}
+	m.reply <- l.machine.Config()
+}
+
 // dumpQuery requests the state dump of the loop.
 type dumpQuery struct{ reply chan<- loopDump }
 
--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -48,3 +49,47 @@
 func ListenConfig() *net.ListenConfig {
 	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig, Control: setUserTimeout}
 }
+
+// SocketState is what a read from a TCP connection would find.
+type SocketState int
+
+const (
+	// SocketUnknown: the connection is no open TCP connection of this process.
+	SocketUnknown SocketState = iota
+	// SocketQuiet: the connection is open, and there is nothing to read.
+	SocketQuiet
+	// SocketReadable: there are bytes to read.
+	SocketReadable
+	// SocketEnded: the peer has closed or reset the connection.
+	SocketEnded
+)
+
+// StateOf returns the state of the socket of a connection. It takes no bytes from it and
+// doesn't wait for a read that is in progress.
+func StateOf(conn net.Conn) SocketState {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return SocketUnknown
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return SocketUnknown
+	}
+	state := SocketUnknown
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN):
+			state = SocketQuiet
+		case err == nil && n > 0:
+			state = SocketReadable
+		default:
+			state = SocketEnded
+		}
+	})
+	if err != nil {
+		return SocketUnknown
+	}
+	return state
+}
