Show that a response whose head breaks off is no success

An operator reports a 200 with an empty or short body after a replica had stopped in the middle of its answer's head. It doesn't happen here: net/http fails at the end of a head, and ReadResponse is the only reader of heads. The tests break off after each byte of six heads (exchange) and of one (backend), and at eight places through the gateway, directly and through another gateway, for a plain response and a stream.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -265,3 +265,30 @@
 		previous = response
 	}
 }
+
+// Guards against a response whose head breaks off, and which is taken as a complete one
+// with the header read so far and without a body.
+func TestHeadThatBreaksOff(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + RequestIDHeader + ": req-1\r\nContent-Type: text/plain\r\n\r\n"
+	for n := range len(head) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, head[:n])
+			_ = c.Close()
+		}()
+		resp, err := NewClient(nil).Do(t.Context(), &Request{Backend: "b1", Address: l.Addr().String(), ID: "req-1", Method: http.MethodGet, Path: "/x"})
+		var failed *Error
+		if err == nil || !errors.As(err, &failed) || !failed.Sent {
+			t.Errorf("%q: response %v, error %v", head[:n], resp, err)
+		}
+		_ = l.Close()
+	}
+}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -274,3 +274,31 @@
 		}
 	}
 }
+
+// Guards against a response whose head breaks off, and which is taken as a complete one
+// with the header read so far and without a body.
+func TestHeadThatBreaksOff(t *testing.T) {
+	for name, head := range map[string]string{
+		"without a length":    "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: text/plain\r\n\r\n",
+		"with a length":       "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 800\r\n\r\n",
+		"chunked":             "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"after informational": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n",
+		"with bare line ends": "HTTP/1.1 200 OK\nX-Id: a\nContent-Type: text/plain\n\n",
+		"with a folded line":  "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Folded: b\r\n c\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for n := range len(head) {
+				b := serve(t, func(_ int, c net.Conn, _ string) bool {
+					_, _ = io.WriteString(c, head[:n])
+					return false
+				})
+				status, body, err := send(NewPool(1), b, "a", nil)
+				var notSent *NotSentError
+				if err == nil || errors.As(err, &notSent) {
+					t.Errorf("%q: status %d, body %q, error %v", head[:n], status, body, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -162,3 +162,24 @@
 		t.Errorf("the response looks complete: %q", body)
 	}
 }
+
+// Guards against a success without a body, or with a part of it, that a caller gets from a
+// response whose head breaks off.
+func TestResponseWhoseHeadBreaksOffIsIncomplete(t *testing.T) {
+	for _, head := range []string{
+		"", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-I", "HTTP/1.1 200 OK\r\nX-Id: %s",
+		"HTTP/1.1 200 OK\r\nX-Id: %s\r\n", "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 8", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r",
+	} {
+		for _, path := range []string{"/once/x", "/rigid/x"} {
+			t.Run(strings.ReplaceAll(head, "/", " ")+path, func(t *testing.T) {
+				s := newSetup(t)
+				s.rawServer("server-1", serviceOf(path), head+"%.0s", false)
+				s.checkUnframed(path, "", false)
+				through := newIsolatedSetup(t)
+				address := through.rawServer("server-1", serviceOf(path), head+"%.0s", false)
+				through.others[0].announce("server-1", serviceOf(path), "a", address)
+				through.checkUnframed(path, "", false)
+			})
+		}
+	}
+}
