gateway: a planned stop never closes a connection whose request it serves

Cause: the stop closes connections that net/http counts as idle. Between the system call that reads a request and the mark that one has begun, between clearing that mark and the new state, and between net/http's look at the state and its call of Close, the connection was closed and its request was parsed from the buffer, passed on, and lost.

Change: the read and the mark, and the decision to close and the close, are one step under a lock. Close leaves a connection alone that serves a request, has read one, or has one waiting in its socket; it is closed when net/http reports it as closed. What is dropped has not been read.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
 	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/wire"
 )
 
 const (
@@ -32,41 +37,103 @@
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
+	raw        syscall.RawConn
 	acceptedAt time.Duration
-	// state is the http.ConnState. pending is set when bytes of the next request were
-	// read: while the connection is idle, or the first byte before. net/http reads one
-	// byte at a time beside a handler, to notice a caller that disconnects.
-	state   atomic.Int32
-	pending atomic.Bool
+
+	// mu makes one step of reading bytes and marking that they were read, and of
+	// deciding that nothing was read and closing.
+	mu    sync.Mutex
+	state http.ConnState
+	// pending is set when bytes of the next request were read: while the connection is
+	// new or idle, or the first byte before. net/http reads one byte at a time beside a handler,
+	// to notice a caller that disconnects.
+	pending bool
+	// keptOpen is set when Close has left the connection open for a request that had
+	// arrived, and isClosed when the connection was closed.
+	keptOpen, isClosed bool
 }
 
 // Read reads from the connection.
 func (c *callerConn) Read(buf []byte) (int, error) {
-	n, err := c.Conn.Read(buf)
-	if n > 0 && (c.isIdle() || len(buf) == 1) {
-		c.pending.Store(true)
+	var n int
+	var readErr error
+	err := c.raw.Read(func(fd uintptr) (done bool) {
+		n, readErr = c.readNow(int(fd), buf)
+		return !errors.Is(readErr, unix.EAGAIN)
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: readErr}
+	case n == 0 && len(buf) > 0:
+		return 0, io.EOF
 	}
-	return n, err
+	return n, nil
 }
 
-// Close closes the connection, unless a request has begun to arrive that net/http
-// doesn't count yet. The server then closes it after the response.
+// readNow reads what has arrived, and returns unix.EAGAIN if that is nothing.
+func (c *callerConn) readNow(fd int, buf []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed {
+		return 0, net.ErrClosed
+	}
+	n, err := unix.Read(fd, buf)
+	for errors.Is(err, unix.EINTR) {
+		n, err = unix.Read(fd, buf)
+	}
+	if n > 0 && (c.state != http.StateActive || len(buf) == 1) {
+		c.pending = true
+	}
+	return max(0, n), err
+}
+
+// Close closes the connection if it is idle and no request has arrived, or begun to.
+//
+// net/http calls it for connections that were idle some time before, among them those on
+// which a request is being served now, and for a connection whose last response was
+// sent; that one is closed when its state becomes StateClosed. See closeNow for the others.
 func (c *callerConn) Close() error {
-	if c.isIdle() && c.pending.Load() {
+	c.mu.Lock()
+	hasRequest := c.state == http.StateActive || c.pending || wire.StateOf(c.Conn) == wire.SocketReadable
+	if hasRequest {
+		c.keptOpen = true
+		c.mu.Unlock()
 		return nil
 	}
+	c.isClosed = true
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
-func (c *callerConn) isIdle() bool { return http.ConnState(c.state.Load()) == http.StateIdle }
+// closeNow closes the connection.
+func (c *callerConn) closeNow() {
+	c.mu.Lock()
+	c.isClosed = true
+	c.mu.Unlock()
+	_ = c.Conn.Close()
+}
+
+// setState records the state that net/http gives the connection.
+func (c *callerConn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = state
+	if state == http.StateActive {
+		c.pending = false
+	}
+}
 
 // isBusy reports whether a request is being served or may be arriving.
 func (c *callerConn) isBusy(now time.Duration) bool {
-	switch http.ConnState(c.state.Load()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.state {
 	case http.StateNew:
-		return now-c.acceptedAt < firstRequestTime
+		return now-c.acceptedAt < firstRequestTime || c.keptOpen
 	case http.StateIdle:
-		return c.pending.Load()
+		return c.pending || c.keptOpen
 	}
 	return true
 }
@@ -85,27 +152,43 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: accepted, acceptedAt: bootclock.Now()}
+	socket, ok := accepted.(syscall.Conn)
+	if !ok {
+		return nil, errors.Errorf("connection %T of a caller has no socket", accepted)
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil, errors.Annotate(err, "socket of a caller")
+	}
+	c := &callerConn{Conn: accepted, raw: raw, acceptedAt: bootclock.Now()}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.conns[c] = struct{}{}
 	return c, nil
 }
 
-// track is the ConnState function of the server.
+// track is the ConnState function of the server, which must not hijack connections.
 func (t *callerConns) track(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
 	if !ok {
 		return
 	}
-	if state == http.StateActive {
-		c.pending.Store(false)
+	c.setState(state)
+	if state != http.StateClosed {
+		return
 	}
-	c.state.Store(int32(state))
-	if state == http.StateClosed || state == http.StateHijacked {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		delete(t.conns, c)
+	c.closeNow()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+// closeAll closes all connections, also those on which requests are being served.
+func (t *callerConns) closeAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		c.closeNow()
 	}
 }
 
--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -7,8 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/juju/errors"
+
+	"bilberryhub/internal/wire"
 )
 
 // slowConn delivers what it has read late, like a process that is preempted right after
@@ -100,3 +105,114 @@
 		}
 	}
 }
+
+// callerServer is a server of callers whose handler records the paths of requests.
+type callerServer struct {
+	*http.Server
+	conns   *callerConns
+	address string
+	handled sync.Map
+}
+
+func newCallerServer(t *testing.T) *callerServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &callerServer{conns: newCallerConns(), address: l.Addr().String()}
+	s.Server = &http.Server{ConnState: s.conns.track, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.handled.Store(r.URL.Path, true)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})}
+	go func() { _ = s.Serve(callerListener{l, s.conns}) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// idleConn returns a connection on which one request was served.
+func (s *callerServer) idleConn(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	responses := bufio.NewReader(c)
+	send(t, c, 0)
+	response, err := http.ReadResponse(responses, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return c, responses
+}
+
+// Guards against a planned stop that closes a connection between the read of a request
+// and the mark that it was read: the request is passed on and its response is lost.
+func TestPlannedStopNeverDropsARequestThatItServes(t *testing.T) {
+	const rounds, connections = 60, 16
+	s := newCallerServer(t)
+	for round := range rounds {
+		s.SetKeepAlivesEnabled(true)
+		var wg sync.WaitGroup
+		start := make(chan struct{})
+		for i := range connections {
+			c, responses := s.idleConn(t)
+			id := 1 + round*connections + i
+			wg.Go(func() {
+				<-start
+				time.Sleep(time.Duration(id%8) * 20 * time.Microsecond)
+				_, _ = fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", id)
+				_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+				_, err := http.ReadResponse(responses, nil)
+				if _, wasHandled := s.handled.Load(fmt.Sprint("/", id)); wasHandled && err != nil {
+					t.Errorf("request %d was passed on and got no response: %v", id, err)
+				}
+			})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		close(start)
+		if err := s.conns.drain(ctx, s.Server); err != nil {
+			t.Errorf("drain: %v", err)
+		}
+		cancel()
+		wg.Wait()
+	}
+}
+
+// Guards against a planned stop that closes a connection as idle although a request waits
+// in its socket: the caller would have to send it again, or can't know whether it has run.
+func TestPlannedStopServesARequestThatWaitsInTheSocket(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conns := newCallerConns()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	accepted, err := callerListener{l, conns}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := accepted.(*callerConn)
+	conns.track(c, http.StateIdle)
+	_, _ = io.WriteString(caller, "GET")
+	for wire.StateOf(c.Conn) != wire.SocketReadable {
+		time.Sleep(time.Millisecond)
+	}
+	_ = c.Close()
+	buf := make([]byte, 8)
+	if n, err := c.Read(buf); err != nil || string(buf[:n]) != "GET" || conns.busy() != 1 {
+		t.Fatalf("read %q, %v; %d connections count as busy", buf[:n], err, conns.busy())
+	}
+	// The request never becomes complete, and net/http gives up.
+	conns.track(c, http.StateClosed)
+	if _, err := c.Conn.Read(buf); !errors.Is(err, net.ErrClosed) || conns.busy() != 0 {
+		t.Fatalf("the connection stays open: %v", err)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -306,6 +306,7 @@
 func (g *Gateway) Close() {
 	g.cancel()
 	_ = g.callers.Close()
+	g.callerConns.closeAll()
 	_ = g.ready.Close()
 	_ = g.udp.Close()
 	_ = g.peerServer.Close()
