gateway: a request late in a planned stop ends in the grace time or is refused

What an operator reports: in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer, among them some that may not be repeated (LOST). It happens here: a connection that was accepted before and on which no request had come yet stays open, and so does one that is kept for a request that had arrived; their requests were passed on up to the end. Requests that were open at the end got a closed connection.

Change: once the balancer has noticed, a request is passed on only if its deadline lies within the grace time; after the last one has ended none is. What is open at the end of the grace time gets its final response: 504 (outcome unknown), or 503 (not run) if it wasn't sent.

Before: TestRequestLateInAPlannedStopEndsOrIsRefused: the late request ran and got no response, nor did the open one. After: it passes, as does TestRequestAfterTheLastOneIsRefused.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -197,7 +197,8 @@
 	return unavailable(g.backoff(r, err), "%v", errors.Cause(err))
 }
 
-// expired returns the final response at the deadline. If the caller has
+// expired returns the final response at the deadline, or at the end of this process. If
+// the caller has
 // disconnected it panics with http.ErrAbortHandler instead.
 func (g *Gateway) expired(ctx context.Context, r *request, ran bool, buffered *bufferedResponse) error {
 	if errors.Is(r.http.Context().Err(), context.Canceled) && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -207,10 +208,14 @@
 	if buffered != nil {
 		return g.forwardResponse(r, buffered)
 	}
+	reason := "the deadline has passed"
+	if g.serving.Err() != nil {
+		reason = "this process is stopping"
+	}
 	if ran {
-		return refuse(http.StatusGatewayTimeout, "the deadline has passed")
+		return refuse(http.StatusGatewayTimeout, "%s", reason)
 	}
-	return unavailable(g.backoff(r, nil), "the deadline has passed before it was sent")
+	return unavailable(g.backoff(r, nil), "%s and it was not sent", reason)
 }
 
 // statusCallerLeft stands for the missing response in logs and metrics.
@@ -253,7 +258,7 @@
 	g, r := a.g, a.r
 	now := bootclock.Now()
 	remaining := r.deadline - now - responseMargin
-	if remaining < minAttemptTime/2 {
+	if remaining < minAttemptTime/2 || ctx.Err() != nil {
 		return callerGone
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
@@ -395,13 +400,19 @@
 	case stall.fired():
 		a.recordSilence(now)
 		return mayHaveRun
-	case a.r.http.Context().Err() != nil || a.r.deadline-now <= responseMargin:
+	case a.isOver(now):
 		return callerGone
 	}
 	a.handleBroken()
 	return mayHaveRun
 }
 
+// isOver reports whether the request ends for another reason than its backend server: the
+// caller has left, its deadline has passed, or this process ends.
+func (a *attempt) isOver(now time.Duration) bool {
+	return a.r.http.Context().Err() != nil || a.r.deadline-now <= responseMargin || a.g.serving.Err() != nil
+}
+
 // recordSilence records the failure of a backend server that gave no response in
 // time. If it has sent anything else since the request was sent, it is only
 // slow.
@@ -471,7 +482,7 @@
 		if a.isQuarantined.Load() {
 			return mayHaveRun
 		}
-		if a.r.http.Context().Err() != nil || (a.r.deadline-now <= responseMargin && !stall.fired()) {
+		if a.r.http.Context().Err() != nil || (a.isOver(now) && !stall.fired()) {
 			return callerGone
 		}
 		a.handleBroken()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,13 +50,6 @@
 	// maxIdleConns is the maximum number of idle connections to one backend
 	// server.
 	maxIdleConns = 4
-	// balancerNoticeTime is the time from the first "not ready" response until
-	// no new connections arrive: the load balancer checks each second and acts
-	// on the second failure.
-	balancerNoticeTime = 2300 * time.Millisecond
-	// stopMargin is the part of the grace time that is reserved for the
-	// process to exit.
-	stopMargin = 700 * time.Millisecond
 	// maxHeadBytes limits the head of a caller's request.
 	maxHeadBytes = 64 << 10
 )
@@ -109,9 +102,15 @@
 	// open is the number of requests of callers that are being served.
 	open     atomic.Int64
 	stopping atomic.Bool
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	// acceptsUntil is the time in ns by which new requests must have ended, once the load
+	// balancer has noticed a planned stop; 0 before.
+	acceptsUntil atomic.Int64
+	// serving ends when the open requests must end, at the end of the grace time.
+	serving    context.Context
+	endServing context.CancelFunc
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
 }
 
 // New returns a gateway that doesn't listen yet. Start starts it.
@@ -125,6 +124,7 @@
 		return err
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.serving, g.endServing = context.WithCancel(context.Background())
 	g.members = newMembers(g)
 	g.connects = g.newPeerServer()
 	g.sync = configsync.New(configsync.Options{
@@ -283,27 +283,9 @@
 	g.log.Info("settings reloaded", zap.Strings("states", s.States))
 }
 
-// Stop shuts the process down gracefully: it reports not ready, serves new
-// requests until the load balancer has noticed, and waits for the open requests
-// until the grace time ends. It always returns nil.
-func (g *Gateway) Stop() error {
-	began := bootclock.Now()
-	g.stopping.Store(true)
-	g.log.Info("stopping", zap.Int64("open_requests", g.open.Load()))
-	grace := seconds(g.settings.GraceSeconds) - stopMargin
-	time.Sleep(min(balancerNoticeTime, grace/2))
-	ctx, cancel := context.WithTimeout(context.Background(), max(0, grace-(bootclock.Now()-began)))
-	defer cancel()
-	_ = g.callerListener.Close()
-	err := g.callerConns.drain(ctx, g.callers)
-	g.waitForPeers(ctx)
-	g.log.Info("stopped", zap.Int64("open_requests", g.open.Load()), observe.Error(err))
-	g.Close()
-	return nil
-}
-
 // Close stops the process immediately.
 func (g *Gateway) Close() {
+	g.endServing()
 	g.cancel()
 	_ = g.callers.Close()
 	g.callerConns.closeAll()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -119,6 +119,7 @@
 	}
 	ctx, cancel := context.WithTimeout(hr.Context(), r.deadline-bootclock.Now())
 	defer cancel()
+	defer context.AfterFunc(g.serving, cancel)()
 	if err := g.run(ctx, r); err != nil {
 		g.writeError(r, err)
 	}
@@ -170,6 +171,9 @@
 	if caller.WaitFor > 0 {
 		r.deadline = min(r.deadline, r.arrived+caller.WaitFor)
 	}
+	if err := g.checkStop(r); err != nil {
+		return err
+	}
 	return g.readBody(r)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -221,7 +221,7 @@
 	case stall.fired():
 		a.recordSilence(now)
 		return mayHaveRun
-	case a.r.deadline-now <= responseMargin:
+	case a.isOver(now):
 		return callerGone
 	case seen == 0:
 		a.handleBroken()
