e2e: a stop at the drain limit answers each request

An entry process refuses new requests from the SIGTERM on, so that none comes late in its grace (e2e TestDrainInterruptsNoRequest).

--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"bilberryhub/internal/entry"
 	"bilberryhub/internal/standin"
 )
 
@@ -222,3 +223,28 @@
 	c.entries[0] = nil
 	c.eventually("the other process serves alone", func() bool { return c.sendPrompt(1, prompt{}).status == http.StatusOK })
 }
+
+// TestStopAtTheDrainLimitAnswersEachRequest guards against a planned stop that closes the
+// connections of requests whose final response was made and not sent yet.
+func TestStopAtTheDrainLimitAnswersEachRequest(t *testing.T) {
+	c := newCluster(t, layout{domains: 1, entriesPerDomain: 2, enginesPerDomain: 1, plain: true, entry: func(s *entry.Settings) { s.DrainSeconds = 1 }})
+	c.setFaults(c.bookingServer(0), func(f *standin.Faults) { f.HangNext = -1 })
+	const requests = 100
+	responses := make(chan response, requests)
+	for i := range requests {
+		go func() {
+			responses <- c.send(0, http.MethodPost, "/bookings/confirm", effectBody(fmt.Sprint("hangs-", i)), map[string]string{"X-Deadline-Ms": "20000"})
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	if err := c.entries[0].Drain(); err == nil {
+		t.Error("the stop states that no request was open")
+	}
+	c.entries[0].Close()
+	c.entries[0] = nil
+	for range requests {
+		if got := <-responses; got.err != nil {
+			t.Errorf("a request was cut: %v", got.err)
+		}
+	}
+}
