reach: crashes of one failure domain, and timeouts beside responses, are no lost path

Cause: two refused connections within some milliseconds made a gateway count as isolated, though all backend servers of one failure domain had crashed; it dropped its idle connections and moved waiting attempts.

Change: failures must lie in two failure domains, where there are two, and the next probe goes to one without a failure. A connection that times out doesn't count if anything was received on own connections since it began.

--- a/internal/entry/isolation.go
+++ b/internal/entry/isolation.go
@@ -80,12 +80,14 @@
 	now := time.Since(s.started)
 	i := s.isolation
 	i.mu.Lock()
-	key := i.remember(address)
+	// The failure domains of addresses are not known here.
+	server := reach.Server{Key: i.remember(address)}
+	known := reach.Known{Servers: len(i.targets), Domains: 1}
 	var isolated, restored bool
 	if err != nil {
-		isolated = i.state.RecordFailure(key, len(i.targets), started, now)
+		isolated = i.state.RecordFailure(server, known, started, now)
 	} else {
-		restored = i.state.RecordConnected(key, len(i.targets), now)
+		restored = i.state.RecordConnected(server, known, now)
 	}
 	i.mu.Unlock()
 	switch {
@@ -163,13 +165,13 @@
 	if !i.state.TakeProbe(0, now) {
 		return ""
 	}
-	keys := make([]uint64, 0, len(i.targets))
+	servers := make([]reach.Server, 0, len(i.targets))
 	for key := range i.targets {
-		keys = append(keys, key)
+		servers = append(servers, reach.Server{Key: key})
 	}
-	// The order of keys is random.
-	key, _ := i.state.NextTarget(keys, 0)
-	return i.targets[key]
+	// The order of the map is random.
+	target, _ := i.state.NextTarget(servers, 0)
+	return i.targets[target.Key]
 }
 
 // probeBackend tries to connect to a backend server.
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -90,16 +91,21 @@
 // server, which began at started.
 func (g *Gateway) recordDial(b *fleet.BackendServer, started time.Duration, err error) {
 	servers, _ := g.members.backends()
-	count := max(1, len(servers))
+	known := reach.Known{Servers: max(1, len(servers)), Domains: max(1, countDomains(servers))}
+	server := reach.Server{Key: b.Key(), Domain: b.FailureDomain}
 	now := bootclock.Now()
 	g.isolation.mu.Lock()
 	state := &g.isolation.state
 	var isolated, restored bool
-	if err != nil {
-		isolated = state.RecordFailure(b.Key(), count, started, now)
+	switch {
+	case err == nil:
+		restored = state.RecordConnected(server, known, now)
+	case isTimeout(err):
+		isolated = state.RecordTimeout(server, known, started, now)
+		signal(g.isolation.failed)
+	default:
+		isolated = state.RecordFailure(server, known, started, now)
 		signal(g.isolation.failed)
-	} else {
-		restored = state.RecordConnected(b.Key(), count, now)
 	}
 	since := state.Since()
 	g.isolation.mu.Unlock()
@@ -112,6 +118,21 @@
 	}
 }
 
+// countDomains returns the number of failure domains of backend servers.
+func countDomains(servers []*fleet.BackendServer) int {
+	domains := map[string]bool{}
+	for _, b := range servers {
+		domains[b.FailureDomain] = true
+	}
+	return len(domains)
+}
+
+// isTimeout reports whether an attempt to connect had no response in time.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // beginIsolation moves what depends on own connections to those of other gateways, and
 // drops the blame that backend servers got meanwhile.
 func (g *Gateway) beginIsolation(since time.Duration, b *fleet.BackendServer, err error) {
@@ -186,18 +207,18 @@
 // doubtTarget returns the backend server to probe, or nil if there is none.
 func (g *Gateway) doubtTarget() *fleet.BackendServer {
 	servers, _ := g.members.backends()
-	var keys []uint64
+	var targets []reach.Server
 	byKey := map[uint64]*fleet.BackendServer{}
 	for _, b := range servers {
 		if b.Usable() {
-			keys = append(keys, b.Key())
+			targets = append(targets, reach.Server{Key: b.Key(), Domain: b.FailureDomain})
 			byKey[b.Key()] = b
 		}
 	}
 	g.isolation.mu.Lock()
 	defer g.isolation.mu.Unlock()
-	key, _ := g.isolation.state.NextTarget(keys, g.random())
-	return byKey[key]
+	target, _ := g.isolation.state.NextTarget(targets, g.random())
+	return byKey[target.Key]
 }
 
 // refusesConnections reports whether a backend server refuses connections, according to
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -17,6 +17,7 @@
 
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/peerconn"
+	"bilberryhub/internal/reach"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
@@ -330,8 +331,8 @@
 	}
 	s.g.stopping.Store(false)
 	now := bootclock.Now()
-	s.g.isolation.state.RecordFailure(1, 3, now, now)
-	s.g.isolation.state.RecordFailure(2, 3, now, now)
+	s.g.isolation.state.RecordFailure(reach.Server{Key: 1}, reach.Known{Servers: 3, Domains: 1}, now, now)
+	s.g.isolation.state.RecordFailure(reach.Server{Key: 2}, reach.Known{Servers: 3, Domains: 1}, now, now)
 	if s.g.allowsConnect(known, target) == nil {
 		t.Error("connected while isolated")
 	}
@@ -413,8 +414,8 @@
 	s := newSetup(t)
 	s.add("b0", "plain", "a", echo)
 	now := bootclock.Now()
-	s.g.isolation.state.RecordFailure(1, 3, now, now)
-	s.g.isolation.state.RecordFailure(2, 3, now, now)
+	s.g.isolation.state.RecordFailure(reach.Server{Key: 1}, reach.Known{Servers: 3, Domains: 1}, now, now)
+	s.g.isolation.state.RecordFailure(reach.Server{Key: 2}, reach.Known{Servers: 3, Domains: 1}, now, now)
 	if !s.g.isolation.isIsolated() {
 		t.Fatal("the gateway doesn't count as isolated")
 	}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/reach"
 )
 
 // rawServer announces a backend server that reads a request and writes response to the
@@ -106,8 +107,8 @@
 	now := bootclock.Now()
 	s.g.isolation.mu.Lock()
 	defer s.g.isolation.mu.Unlock()
-	s.g.isolation.state.RecordFailure(1, 3, now, now)
-	s.g.isolation.state.RecordFailure(2, 3, now, now)
+	s.g.isolation.state.RecordFailure(reach.Server{Key: 1}, reach.Known{Servers: 3, Domains: 1}, now, now)
+	s.g.isolation.state.RecordFailure(reach.Server{Key: 2}, reach.Known{Servers: 3, Domains: 1}, now, now)
 	return s
 }
 
--- a/internal/reach/isolation.go
+++ b/internal/reach/isolation.go
@@ -8,8 +8,10 @@
 const (
 	// isolatedFailures is the number of backend servers to which connections must fail,
 	// without one that succeeds in between, for the process to count as isolated: a
-	// single one may have failed on its own.
+	// single one may have failed on its own. isolatedDomains is the number of their failure
+	// domains, if there are as many: all of one may have failed together.
 	isolatedFailures = 2
+	isolatedDomains  = 2
 	// restoredServers is the number of backend servers to which connections must
 	// succeed, without one that fails in between, for the isolation to end.
 	restoredServers = 2
@@ -25,14 +27,13 @@
 // other processes may still reach them.
 //
 // Only attempts to connect count. Datagrams of peers say nothing about the path to
-// backend servers, and connections that were open before may live on, or hang, while new
-// ones are refused or vanish. An Isolation is not safe for concurrent use; the zero value
+// backend servers, and connections that were open before may live on while new ones are
+// refused. If they live on while new ones time out, the path works, and is overloaded. An Isolation is not safe for concurrent use; the zero value
 // is ready to use.
 type Isolation struct {
-	// failed holds when the last failed attempt at a backend server began, since a
-	// connection succeeded; restored holds the backend servers at which one succeeded
-	// since one failed.
-	failed   map[uint64]time.Duration
+	// failed holds the last failed attempts at backend servers since a connection
+	// succeeded; restored holds the backend servers at which one succeeded since one failed.
+	failed   map[uint64]failedAttempt
 	restored map[uint64]bool
 	isolated bool
 	// since is when the first failed attempt began that led to the isolation, and
@@ -43,35 +44,71 @@
 	connectedAt, receivedAt, probedAt time.Duration
 }
 
-// RecordFailure records that an attempt to connect to one of a number of backend servers
-// failed, which began at started. It reports whether the process became isolated by it.
-func (i *Isolation) RecordFailure(backend uint64, servers int, started, now time.Duration) (isolated bool) {
+// Server is a backend server with its failure domain, which is empty if unknown.
+type Server struct {
+	Key    uint64
+	Domain string
+}
+
+// Known is the number of backend servers that a process may connect to, and of their
+// failure domains.
+type Known struct{ Servers, Domains int }
+
+// failedAttempt is an attempt to connect that failed.
+type failedAttempt struct {
+	domain  string
+	started time.Duration
+}
+
+// RecordFailure records that an attempt to connect to a backend server failed, which began
+// at started. It reports whether the process became isolated by it.
+func (i *Isolation) RecordFailure(server Server, known Known, started, now time.Duration) (isolated bool) {
 	if started < i.connectedAt {
 		return false
 	}
 	if i.failed == nil {
-		i.failed = map[uint64]time.Duration{}
+		i.failed = map[uint64]failedAttempt{}
 	}
-	for b, at := range i.failed {
-		if now-at > failureMemory {
+	for b, f := range i.failed {
+		if now-f.started > failureMemory {
 			delete(i.failed, b)
 		}
 	}
-	i.failed[backend] = started
+	i.failed[server.Key] = failedAttempt{server.Domain, started}
 	clear(i.restored)
-	if i.isolated || len(i.failed) < min(isolatedFailures, servers) {
+	if i.isolated || len(i.failed) < min(isolatedFailures, known.Servers) ||
+		len(i.failedDomains()) < min(isolatedDomains, known.Domains) {
 		return false
 	}
 	i.isolated, i.since = true, started
-	for _, at := range i.failed {
-		i.since = min(i.since, at)
+	for _, f := range i.failed {
+		i.since = min(i.since, f.started)
 	}
 	return true
 }
 
-// RecordConnected records that a connection to one of a number of backend servers was
-// made. It reports whether the isolation of the process ended by it.
-func (i *Isolation) RecordConnected(backend uint64, servers int, now time.Duration) (restored bool) {
+// failedDomains returns the failure domains of the failed attempts.
+func (i *Isolation) failedDomains() map[string]bool {
+	domains := map[string]bool{}
+	for _, f := range i.failed {
+		domains[f.domain] = true
+	}
+	return domains
+}
+
+// RecordTimeout records that an attempt to connect timed out, as RecordFailure does. It
+// doesn't count if anything was received on own connections since the attempt began: in a
+// burst, single attempts time out while the path works.
+func (i *Isolation) RecordTimeout(server Server, known Known, started, now time.Duration) (isolated bool) {
+	if i.receivedAt >= started {
+		return false
+	}
+	return i.RecordFailure(server, known, started, now)
+}
+
+// RecordConnected records that a connection to a backend server was made. It reports
+// whether the isolation of the process ended by it.
+func (i *Isolation) RecordConnected(server Server, known Known, now time.Duration) (restored bool) {
 	i.connectedAt = max(i.connectedAt, now)
 	i.RecordReceived(now)
 	clear(i.failed)
@@ -81,8 +118,8 @@
 	if i.restored == nil {
 		i.restored = map[uint64]bool{}
 	}
-	i.restored[backend] = true
-	if len(i.restored) < min(restoredServers, servers) {
+	i.restored[server.Key] = true
+	if len(i.restored) < min(restoredServers, known.Servers) {
 		return false
 	}
 	clear(i.restored)
@@ -130,17 +167,21 @@
 }
 
 // NextTarget returns the backend server to probe: one that has neither failed nor
-// succeeded since the state last changed, if there is one. It returns false if there is
-// no backend server.
-func (i *Isolation) NextTarget(backends []uint64, random float64) (uint64, bool) {
-	if len(backends) == 0 {
-		return 0, false
-	}
-	first := int(random * float64(len(backends)))
-	order := slices.Concat(backends[first:], backends[:first])
-	isNew := func(b uint64) bool {
-		_, hasFailed := i.failed[b]
-		return !hasFailed && !i.restored[b]
+// succeeded since the state last changed, if there is one, and of a failure domain without
+// a failure if possible. It returns false if there is no backend server.
+func (i *Isolation) NextTarget(servers []Server, random float64) (Server, bool) {
+	if len(servers) == 0 {
+		return Server{}, false
+	}
+	first := int(random * float64(len(servers)))
+	order := slices.Concat(servers[first:], servers[:first])
+	failedDomains := i.failedDomains()
+	isNew := func(s Server) bool {
+		_, hasFailed := i.failed[s.Key]
+		return !hasFailed && !i.restored[s.Key]
+	}
+	if n := slices.IndexFunc(order, func(s Server) bool { return isNew(s) && !failedDomains[s.Domain] }); n >= 0 {
+		return order[n], true
 	}
 	if n := slices.IndexFunc(order, isNew); n >= 0 {
 		return order[n], true
--- a/internal/reach/isolation_test.go
+++ b/internal/reach/isolation_test.go
@@ -11,13 +11,16 @@
 // reached.
 type network struct {
 	i       Isolation
-	servers []uint64
+	servers []Server
 	now     time.Duration
 	rng     *rand.Rand
 	dead    map[uint64]bool
+	domains int
 	cut     bool
 	// refuses makes connections fail at once during the cut, not after dialTimeout.
 	refuses bool
+	// deadRefuse makes connections to dead backend servers fail at once.
+	deadRefuse bool
 	// pending are attempts to connect in progress.
 	pending []attempt
 	waiting time.Duration
@@ -25,7 +28,7 @@
 }
 
 type attempt struct {
-	server     uint64
+	server     Server
 	start, end time.Duration
 	failed     bool
 }
@@ -36,17 +39,20 @@
 	step        = 10 * time.Millisecond
 )
 
+// newNetwork returns a network with backend servers in up to three failure domains.
 func newNetwork(servers int, seed uint64) *network {
-	n := &network{now: time.Minute, rng: rand.New(rand.NewPCG(seed, 0)), dead: map[uint64]bool{}}
+	n := &network{domains: min(3, servers), now: time.Minute, rng: rand.New(rand.NewPCG(seed, 0)), dead: map[uint64]bool{}}
 	for s := range servers {
-		n.servers = append(n.servers, uint64(s+1))
+		n.servers = append(n.servers, Server{Key: uint64(s + 1), Domain: fmt.Sprint(s % n.domains)})
 	}
 	return n
 }
 
-func (n *network) connect(server uint64) {
+func (n *network) known() Known { return Known{Servers: len(n.servers), Domains: n.domains} }
+
+func (n *network) connect(server Server) {
 	a := attempt{server: server, start: n.now, end: n.now + roundTrip}
-	if a.failed = n.cut || n.dead[server]; a.failed && !(n.cut && n.refuses) {
+	if a.failed = n.cut || n.dead[server.Key]; a.failed && !(n.cut && n.refuses) && !(n.deadRefuse && !n.cut) {
 		a.end = n.now + dialTimeout
 	}
 	n.pending = append(n.pending, a)
@@ -71,9 +77,9 @@
 			case a.end > n.now:
 				left = append(left, a)
 			case a.failed:
-				n.i.RecordFailure(a.server, len(n.servers), a.start, n.now)
+				n.i.RecordFailure(a.server, n.known(), a.start, n.now)
 			default:
-				n.i.RecordConnected(a.server, len(n.servers), n.now)
+				n.i.RecordConnected(a.server, n.known(), n.now)
 			}
 		}
 		n.pending = left
@@ -138,6 +144,24 @@
 	}
 }
 
+// Guards against a process that counts as isolated because all backend servers of one
+// failure domain refuse connections, as after a crash of them all.
+func TestDeadFailureDomainIsNoIsolation(t *testing.T) {
+	for seed := range uint64(50) {
+		n := newNetwork(18, seed)
+		n.run(time.Second, 20)
+		for _, s := range n.servers {
+			n.dead[s.Key] = s.Domain == "1"
+		}
+		n.deadRefuse = true
+		for range 500 {
+			if n.run(step, 60); n.i.IsIsolated() {
+				t.Fatalf("seed %d: the process counts as isolated", seed)
+			}
+		}
+	}
+}
+
 // Guards against connections that are opened again and again although nothing is wrong:
 // they are priced, and a process without requests has no reason for them.
 func TestProbesOnlyInDoubt(t *testing.T) {
@@ -158,16 +182,17 @@
 // Guards against a return of all requests at the same moment.
 func TestReturnIsGradual(t *testing.T) {
 	var i Isolation
-	i.RecordFailure(1, 3, 10*time.Second, 10*time.Second)
-	i.RecordFailure(2, 3, 10*time.Second, 10*time.Second)
+	known := Known{Servers: 3, Domains: 1}
+	i.RecordFailure(Server{Key: 1}, known, 10*time.Second, 10*time.Second)
+	i.RecordFailure(Server{Key: 2}, known, 10*time.Second, 10*time.Second)
 	if !i.IsIsolated() {
 		t.Fatal("not isolated after two failures")
 	}
-	i.RecordConnected(1, 3, 11*time.Second)
-	if i.RecordFailure(3, 3, 11*time.Second, 11*time.Second); i.RecordConnected(2, 3, 11*time.Second) {
+	i.RecordConnected(Server{Key: 1}, known, 11*time.Second)
+	if i.RecordFailure(Server{Key: 3}, known, 11*time.Second, 11*time.Second); i.RecordConnected(Server{Key: 2}, known, 11*time.Second) {
 		t.Fatal("ended although a connection failed in between")
 	}
-	i.RecordConnected(1, 3, 12*time.Second)
+	i.RecordConnected(Server{Key: 1}, known, 12*time.Second)
 	if i.IsIsolated() {
 		t.Fatal("not ended after two connections")
 	}
