--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -45,8 +45,8 @@
 	mu    sync.Mutex
 	state http.ConnState
 	// pending is set when bytes of the next request were read: while the connection is
-	// new or idle, or the first byte before. net/http reads one byte at a time beside a handler,
-	// to notice a caller that disconnects.
+	// new or idle, or the first byte before. net/http reads one byte at a time beside a
+	// handler, to notice a caller that disconnects.
 	pending bool
 	// keptOpen is set when Close has left the connection open for a request that had
 	// arrived, and isClosed when the connection was closed.
--- a/internal/reach/isolation.go
+++ b/internal/reach/isolation.go
@@ -152,8 +152,9 @@
 }
 
 // TakeProbe reports whether a connection to some backend server should be tried now, and
-// records it as begun. That is the case while that is in doubt, and if requests have waited for a response since waitingSince (0 if none wait)
-// and nothing was received for SuspectAfter.
+// records it as begun. That is the case while that is in doubt, and if requests have
+// waited for a response since waitingSince (0 if none wait) and nothing was received for
+// SuspectAfter.
 func (i *Isolation) TakeProbe(waitingSince, now time.Duration) bool {
 	isSilent := waitingSince > 0 && now-max(waitingSince, i.receivedAt) >= SuspectAfter
 	if !i.IsInDoubt() && !isSilent {
