freeport: ports of tests that no other process takes

Cause: package e2e listened on port 0, closed, and listened there again later. Such a port is an ephemeral one, and the packages of a test run open many connections at the same time, of which any may take it meanwhile.

Change: one allocator for all of them. Ports lie below the ephemeral range, in blocks that a process holds by listening on the first port of each.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -17,7 +17,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -27,6 +26,7 @@
 
 	"bilberryhub/internal/announce"
 	"bilberryhub/internal/entry"
+	"bilberryhub/internal/freeport"
 	"bilberryhub/internal/invariant"
 	"bilberryhub/internal/standin"
 	"bilberryhub/internal/stateserver"
@@ -79,16 +79,10 @@
 func domainName(i int) string { return fmt.Sprintf("d%d", i+1) }
 
 // freeAddresses returns n loopback addresses on which nothing listens.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
+func freeAddresses(n int) []string {
 	var out []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+		out = append(out, freeport.Address("127.0.0.1"))
 	}
 	return out
 }
@@ -109,7 +103,7 @@
 }
 
 func (c *cluster) startStates() {
-	addresses := freeAddresses(c.t, 2*c.layout.domains)
+	addresses := freeAddresses(2 * c.layout.domains)
 	var replicas []stateserver.ReplicaConfig
 	for i := range c.layout.domains {
 		replicas = append(replicas, stateserver.ReplicaConfig{
@@ -139,7 +133,7 @@
 
 func (c *cluster) startEntries() {
 	n := c.layout.domains * c.layout.entriesPerDomain
-	addresses := freeAddresses(c.t, 3*n)
+	addresses := freeAddresses(3 * n)
 	var states []string
 	for _, s := range c.stateSettings {
 		states = append(states, s.Listen)
@@ -195,14 +189,14 @@
 		}
 		for i := range c.layout.enginesPerDomain {
 			settings.Instances = append(settings.Instances, standin.InstanceSettings{
-				ID: fmt.Sprintf("engine-%s-%d", domainName(d), i+1), Kind: announce.KindModel, Listen: freeAddresses(c.t, 1)[0],
+				ID: fmt.Sprintf("engine-%s-%d", domainName(d), i+1), Kind: announce.KindModel, Listen: freeport.Address("127.0.0.1"),
 				FailureDomain: domainName(d), Service: "assistant", Models: []string{testModel},
 				Entries: announceTo, Model: &model, ColdLimitRequests: uint32(c.layout.coldLimit),
 			})
 		}
 		if c.layout.plain {
 			settings.Instances = append(settings.Instances, standin.InstanceSettings{
-				ID: "booking-" + domainName(d), Kind: announce.KindPlain, Listen: freeAddresses(c.t, 1)[0],
+				ID: "booking-" + domainName(d), Kind: announce.KindPlain, Listen: freeport.Address("127.0.0.1"),
 				FailureDomain: domainName(d), Service: "bookings", PathPrefix: "/bookings", Entries: announceTo, PlainMS: 2, Model: &model,
 			})
 		}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -10,7 +10,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -166,38 +165,3 @@
 	defer p.mu.Unlock()
 	return p.starts
 }
-
-const (
-	// The range is below the ephemeral ports of the operating system. An outgoing
-	// connection could otherwise occupy the port of a process that is down.
-	firstPort, lastPort = 10_000, 32_000
-	// portsPerRun is above the number of ports that all clusters of one test run
-	// use together.
-	portsPerRun = 400
-)
-
-// ports allocates each port once. Concurrent test runs start at different ports,
-// because an allocated port stays free until its process starts.
-var ports = struct {
-	sync.Mutex
-	next int
-}{next: firstPort + os.Getpid()%((lastPort-firstPort)/portsPerRun)*portsPerRun}
-
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ports.Lock()
-	defer ports.Unlock()
-	for range lastPort - firstPort {
-		if ports.next++; ports.next >= lastPort {
-			ports.next = firstPort
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port found")
-	return ""
-}
--- a/internal/soak/setup_test.go
+++ b/internal/soak/setup_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"bilberryhub/internal/freeport"
 	"bilberryhub/internal/loadtool"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
@@ -190,7 +191,7 @@
 func (c *cluster) addStates() {
 	var replicas []any
 	for i := range domainCount {
-		p := &stateProcess{address: freeAddress(c.t), admin: freeAddress(c.t), dataDir: filepath.Join(c.dir, "data-"+domainName(i))}
+		p := &stateProcess{address: freeport.Address("127.0.0.1"), admin: freeport.Address("127.0.0.1"), dataDir: filepath.Join(c.dir, "data-"+domainName(i))}
 		c.states = append(c.states, p)
 		replicas = append(replicas, map[string]any{"name": "state-" + domainName(i), "address": p.address, "failure_domain": domainName(i)})
 	}
@@ -212,7 +213,7 @@
 	for i := range domainCount * entriesPerDomain {
 		p := &entryProcess{
 			domain: domainName(i / entriesPerDomain),
-			listen: freeAddress(c.t), announce: freeAddress(c.t), wireAddress: freeAddress(c.t), admin: freeAddress(c.t),
+			listen: freeport.Address("127.0.0.1"), announce: freeport.Address("127.0.0.1"), wireAddress: freeport.Address("127.0.0.1"), admin: freeport.Address("127.0.0.1"),
 		}
 		p.client = loadtool.NewClient(loadtool.NewBalancer([]string{p.listen}, 1))
 		c.t.Cleanup(p.client.Close)
@@ -245,7 +246,7 @@
 		model[k] = v
 	}
 	for d := range domainCount {
-		p := &standinProcess{domain: domainName(d), admin: freeAddress(c.t), plainID: "booking-" + domainName(d)}
+		p := &standinProcess{domain: domainName(d), admin: freeport.Address("127.0.0.1"), plainID: "booking-" + domainName(d)}
 		var announceTo []string
 		for _, e := range c.entries[d*entriesPerDomain : (d+1)*entriesPerDomain] {
 			announceTo = append(announceTo, e.announce)
@@ -255,12 +256,12 @@
 			id := fmt.Sprintf("engine-%s-%d", p.domain, i+1)
 			p.engineIDs = append(p.engineIDs, id)
 			instances = append(instances, map[string]any{
-				"id": id, "kind": "model", "listen": freeAddress(c.t), "failure_domain": p.domain, "service": "assistant",
+				"id": id, "kind": "model", "listen": freeport.Address("127.0.0.1"), "failure_domain": p.domain, "service": "assistant",
 				"models": []string{modelName}, "cold_limit_requests": c.layout.coldLimit,
 			})
 		}
 		instances = append(instances, map[string]any{
-			"id": p.plainID, "kind": "plain", "listen": freeAddress(c.t), "failure_domain": p.domain, "service": "bookings",
+			"id": p.plainID, "kind": "plain", "listen": freeport.Address("127.0.0.1"), "failure_domain": p.domain, "service": "bookings",
 			"path_prefix": "/bookings", "plain_ms": c.layout.plainMS / c.layout.timeScale,
 		})
 		p.process = c.newProcess("standin-"+p.domain, "bilberry-standin", map[string]any{
--- a/internal/stateserver/cluster_test.go
+++ b/internal/stateserver/cluster_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/freeport"
 	"bilberryhub/internal/wal"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
@@ -57,7 +57,7 @@
 	}
 	for i := range size {
 		c.replicas = append(c.replicas, ReplicaConfig{
-			Name: fmt.Sprintf("state-%c", 'a'+i), Address: freeAddress(t), FailureDomain: fmt.Sprintf("domain-%c", 'a'+i),
+			Name: fmt.Sprintf("state-%c", 'a'+i), Address: freeport.Address("127.0.0.1"), FailureDomain: fmt.Sprintf("domain-%c", 'a'+i),
 		})
 	}
 	t.Cleanup(func() {
@@ -68,23 +68,6 @@
 	return c
 }
 
-// freeAddress returns an address that no process listens on. Its port is below the
-// ephemeral port range, so that no outgoing connection takes it before a replica
-// listens there, or while one restarts.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	const lowest, count, tries = 10_000, 20_000, 100
-	for range tries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count)))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String()
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // startAll starts all replicas.
 func (c *cluster) startAll() {
 	for _, r := range c.replicas {
--- a/internal/stateserver/diskfull_test.go
+++ b/internal/stateserver/diskfull_test.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/freeport"
 	"bilberryhub/internal/wal"
 )
 
@@ -139,7 +140,7 @@
 func TestEmptyReplicaWaitsForSpace(t *testing.T) {
 	full := &atomic.Bool{}
 	full.Store(true)
-	address := freeAddress(t)
+	address := freeport.Address("127.0.0.1")
 	set := Settings{
 		ID: "state-a", FailureDomain: "d", Listen: address, AdminListen: "127.0.0.1:0", DataDir: filepath.Join(t.TempDir(), "data"),
 		Replicas: []ReplicaConfig{{Name: "state-a", Address: address, FailureDomain: "d"}}, LogLevel: "info", SnapshotEntries: 100,
--- a/internal/stateserver/replace_test.go
+++ b/internal/stateserver/replace_test.go
@@ -7,13 +7,15 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"bilberryhub/internal/freeport"
 )
 
 // joinNew starts a join-only replica, which the settings of the others don't have to
 // list.
 func (c *cluster) joinNew(name string, target int) *Server {
 	c.t.Helper()
-	address := freeAddress(c.t)
+	address := freeport.Address("127.0.0.1")
 	s, err := Start(Settings{
 		ID: name, FailureDomain: "domain-new", Listen: address, AdminListen: "127.0.0.1:0", DataDir: filepath.Join(c.dir, name),
 		Replicas: c.replicas, LogLevel: "info", SnapshotEntries: c.snapshotEntries, JoinOnly: true, TargetVoters: target,
