control: count the age of an operator's call from the start of its connection

Cause: the age of a call counted from its arrival, or from the begin of a stall of the process. A request that was held up on its way looks new, and its caller still there.

Change: the age counts from the start of the connection as well.

--- a/internal/control/caller.go
+++ b/internal/control/caller.go
@@ -26,27 +26,40 @@
 	settleTime = 500 * time.Millisecond
 )
 
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+	acceptedAt time.Duration
+}
+
 // call is a call of an operator that is being handled.
 type call struct {
 	ctx  context.Context
-	conn net.Conn
-	// arrivedAfter is the earliest time at which the call may have arrived.
-	arrivedAfter time.Duration
+	conn *callerConn
+	// sentAfter is the earliest time at which the call may have been sent.
+	sentAfter time.Duration
 }
 
-// connKey is the key of the connection of the caller in a context.
+// connKey is the key of the *callerConn in a context.
 type connKey struct{}
 
-// WithCallerConn returns a context with the connection of a caller, for the ConnContext
-// of an http.Server.
+// WithCallerConn returns a context with a connection that was just accepted, for the
+// ConnContext of an http.Server.
 func WithCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(ctx, connKey{}, &callerConn{conn, bootclock.Now()})
 }
 
 // newCall returns the call whose handler begins now.
+//
+// A request may have been held up on its way for as long as its connection is open,
+// together with the close that follows it. An operator's call is therefore expected on a
+// connection of its own, and its age counts from the start of that.
 func (s *Service) newCall(ctx context.Context) *call {
-	conn, _ := ctx.Value(connKey{}).(net.Conn)
-	return &call{ctx: ctx, conn: conn, arrivedAfter: s.stalls.earliestArrival(bootclock.Now())}
+	c := &call{ctx: ctx, sentAfter: s.stalls.earliestArrival(bootclock.Now())}
+	if conn, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		c.conn, c.sentAfter = conn, min(c.sentAfter, conn.acceptedAt)
+	}
+	return c
 }
 
 // mustWait returns an error unless the caller surely waited for the response at now. The
@@ -54,10 +67,10 @@
 // connection, and a close may be lost on the way.
 func (c *call) mustWait(now time.Duration) error {
 	switch {
-	case c.ctx.Err() != nil || (c.conn != nil && wire.StateOf(c.conn) == wire.SocketEnded):
+	case c.ctx.Err() != nil || (c.conn != nil && wire.StateOf(c.conn.Conn) == wire.SocketEnded):
 		return errors.New("the caller has left")
-	case now-c.arrivedAfter > maxCallAge:
-		return errors.Errorf("the call may have arrived %v ago, and its caller has moved on", now-c.arrivedAfter)
+	case now-c.sentAfter > maxCallAge:
+		return errors.Errorf("the call may have been sent %v ago, and its caller has moved on", now-c.sentAfter)
 	}
 	return nil
 }
--- a/internal/control/order.go
+++ b/internal/control/order.go
@@ -31,7 +31,9 @@
 //     applied. So that this holds for an order that changes nothing as well, it takes a
 //     number too.
 //   - After the number was read, the caller must still wait. A copy that reads the number
-//     of a later order began before its caller gave up, and is abandoned here.
+//     of a later order began before its caller gave up, and is abandoned here. The age of
+//     a call counts from the start of its connection, so that the connections of
+//     operators should serve one call each.
 //
 // An order that another one has overtaken begins again, so that orders in progress at the
 // same time don't refuse each other.
--- a/internal/control/order_test.go
+++ b/internal/control/order_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -226,6 +227,64 @@
 	}
 }
 
+// Guards against an order that was held up on its way to the process, as by a partition,
+// together with the close by its caller.
+func TestOrderThatWasHeldUpOnItsWayIsAbandoned(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// heldUp is the time between the start of the connection and the order.
+		heldUp time.Duration
+		// isReused is set if another request comes before the order.
+		isReused, isLate bool
+	}{
+		{"sent at once", 0, false, false},
+		{"held up for less than callers wait", maxCallAge / 3, false, false},
+		{"held up", 1200 * time.Millisecond, false, true},
+		{"held up on a connection that was in use", 1200 * time.Millisecond, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newOrderState()
+			s.order(t, true)
+			service := s.newService()
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet {
+					return
+				}
+				if err := service.SetDomain(r.Context(), testDomain, false); err != nil {
+					http.Error(w, err.Error(), http.StatusServiceUnavailable)
+				}
+			}))
+			server.Config.ConnContext = WithCallerConn
+			server.Start()
+			defer server.Close()
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			responses := bufio.NewReader(conn)
+			receive := func() *http.Response {
+				response, err := http.ReadResponse(responses, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				return response
+			}
+			if c.isReused {
+				_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				receive()
+			}
+			time.Sleep(c.heldUp)
+			_, _ = io.WriteString(conn, "DELETE / HTTP/1.1\r\nHost: h\r\n\r\n")
+			if response := receive(); (response.StatusCode == http.StatusServiceUnavailable) != c.isLate || s.isOut() != c.isLate {
+				t.Errorf("the order got status %d, out of service: %v", response.StatusCode, s.isOut())
+			}
+		})
+	}
+}
+
 // Guards against two stalls, one right after the other, that hide how long a call has
 // waited.
 func TestStallsThatFollowEachOtherAreOne(t *testing.T) {
