callerconn: a package of its own

Moves the connections of callers out of package gateway, so that entry processes can end theirs in the same way. Behaviour of gateways unchanged; the tests moved along.

--- a/internal/gateway/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -1,4 +1,8 @@
-package gateway
+// Package callerconn ends the connections of callers in a planned stop so that each request
+// that was read gets its response. http.Server.Shutdown doesn't: it closes a connection as
+// idle although a request has just been read there, and drops requests that it reads
+// afterwards.
+package callerconn
 
 import (
 	"context"
@@ -25,17 +29,14 @@
 	firstRequestTime = time.Second
 )
 
-// callerConns tracks the connections of callers of one server, for a planned stop that
-// answers each request that was read. Server.Shutdown doesn't: it closes a connection as
-// idle although a request has just been read there, and drops requests that it reads
-// afterwards.
-type callerConns struct {
+// Set is the connections of the callers of one server.
+type Set struct {
 	mu    sync.Mutex
-	conns map[*callerConn]struct{}
+	conns map[*conn]struct{}
 }
 
-// callerConn is a connection of a caller.
-type callerConn struct {
+// conn is a connection of a caller.
+type conn struct {
 	net.Conn
 	raw        syscall.RawConn
 	acceptedAt time.Duration
@@ -54,7 +55,7 @@
 }
 
 // Read reads from the connection.
-func (c *callerConn) Read(buf []byte) (int, error) {
+func (c *conn) Read(buf []byte) (int, error) {
 	var n int
 	var readErr error
 	err := c.raw.Read(func(fd uintptr) (done bool) {
@@ -73,7 +74,7 @@
 }
 
 // readNow reads what has arrived, and returns unix.EAGAIN if that is nothing.
-func (c *callerConn) readNow(fd int, buf []byte) (int, error) {
+func (c *conn) readNow(fd int, buf []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isClosed {
@@ -94,7 +95,7 @@
 // net/http calls it for connections that were idle some time before, among them those on
 // which a request is being served now, and for a connection whose last response was
 // sent; that one is closed when its state becomes StateClosed. See closeNow for the others.
-func (c *callerConn) Close() error {
+func (c *conn) Close() error {
 	c.mu.Lock()
 	hasRequest := c.state == http.StateActive || c.pending || wire.StateOf(c.Conn) == wire.SocketReadable
 	if hasRequest {
@@ -108,7 +109,7 @@
 }
 
 // closeNow closes the connection.
-func (c *callerConn) closeNow() {
+func (c *conn) closeNow() {
 	c.mu.Lock()
 	c.isClosed = true
 	c.mu.Unlock()
@@ -116,7 +117,7 @@
 }
 
 // setState records the state that net/http gives the connection.
-func (c *callerConn) setState(state http.ConnState) {
+func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = state
@@ -126,7 +127,7 @@
 }
 
 // isBusy reports whether a request is being served or may be arriving.
-func (c *callerConn) isBusy(now time.Duration) bool {
+func (c *conn) isBusy(now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.state {
@@ -138,16 +139,20 @@
 	return true
 }
 
-func newCallerConns() *callerConns { return &callerConns{conns: map[*callerConn]struct{}{}} }
+// NewSet returns an empty set.
+func NewSet() *Set { return &Set{conns: map[*conn]struct{}{}} }
+
+// Listener returns a listener whose connections belong to the set.
+func (s *Set) Listener(l net.Listener) net.Listener { return listener{l, s} }
 
-// callerListener is a listener whose connections are tracked.
-type callerListener struct {
+// listener is a listener whose connections belong to a set.
+type listener struct {
 	net.Listener
-	conns *callerConns
+	set *Set
 }
 
 // Accept returns the next connection.
-func (l callerListener) Accept() (net.Conn, error) {
+func (l listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -160,16 +165,16 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "socket of a caller")
 	}
-	c := &callerConn{Conn: accepted, raw: raw, acceptedAt: bootclock.Now()}
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	l.conns.conns[c] = struct{}{}
+	c := &conn{Conn: accepted, raw: raw, acceptedAt: bootclock.Now()}
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	l.set.conns[c] = struct{}{}
 	return c, nil
 }
 
-// track is the ConnState function of the server, which must not hijack connections.
-func (t *callerConns) track(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
+// Track is the ConnState function of the server, which must not hijack connections.
+func (s *Set) Track(tracked net.Conn, state http.ConnState) {
+	c, ok := tracked.(*conn)
 	if !ok {
 		return
 	}
@@ -178,27 +183,27 @@
 		return
 	}
 	c.closeNow()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.conns, c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
 }
 
-// closeAll closes all connections, also those on which requests are being served.
-func (t *callerConns) closeAll() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for c := range t.conns {
+// CloseAll closes all connections, also those on which requests are being served.
+func (s *Set) CloseAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
 		c.closeNow()
 	}
 }
 
 // busy returns the number of connections on which a request is being served or may be
 // arriving.
-func (t *callerConns) busy() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (s *Set) busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now, n := bootclock.Now(), 0
-	for c := range t.conns {
+	for c := range s.conns {
 		if c.isBusy(now) {
 			n++
 		}
@@ -206,14 +211,18 @@
 	return n
 }
 
-// drain ends the connections of a server whose listener is closed: idle ones at once,
+// Drain ends the connections of a server whose listener is closed: idle ones at once,
 // the others after the response to their request. It returns the error of ctx if that
 // ends first.
-func (t *callerConns) drain(ctx context.Context, server *http.Server) error {
+func (s *Set) Drain(ctx context.Context, server *http.Server) error {
 	server.SetKeepAlivesEnabled(false)
-	for t.busy() > 0 {
-		if !sleep(ctx, drainPollInterval) {
+	tick := time.NewTicker(drainPollInterval)
+	defer tick.Stop()
+	for s.busy() > 0 {
+		select {
+		case <-ctx.Done():
 			return ctx.Err()
+		case <-tick.C:
 		}
 	}
 	return nil
--- a/internal/gateway/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -1,4 +1,4 @@
-package gateway
+package callerconn
 
 import (
 	"bufio"
@@ -61,12 +61,12 @@
 		t.Fatal(err)
 	}
 	read := make(chan struct{}, 16)
-	conns := newCallerConns()
+	conns := NewSet()
 	server := &http.Server{
-		ConnState: func(c net.Conn, state http.ConnState) { conns.track(c.(slowConn).Conn, state) },
+		ConnState: func(c net.Conn, state http.ConnState) { conns.Track(c.(slowConn).Conn, state) },
 		Handler:   http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) }),
 	}
-	go func() { _ = server.Serve(slowListener{callerListener{l, conns}, read}) }()
+	go func() { _ = server.Serve(slowListener{conns.Listener(l), read}) }()
 	for i := range 5 {
 		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
@@ -96,7 +96,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		_ = l.Close()
-		if err := conns.drain(ctx, server); err != nil {
+		if err := conns.Drain(ctx, server); err != nil {
 			t.Errorf("drain: %v", err)
 		}
 		receive(i)
@@ -109,7 +109,7 @@
 // callerServer is a server of callers whose handler records the paths of requests.
 type callerServer struct {
 	*http.Server
-	conns   *callerConns
+	conns   *Set
 	address string
 	handled sync.Map
 }
@@ -120,12 +120,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &callerServer{conns: newCallerConns(), address: l.Addr().String()}
-	s.Server = &http.Server{ConnState: s.conns.track, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := &callerServer{conns: NewSet(), address: l.Addr().String()}
+	s.Server = &http.Server{ConnState: s.conns.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.handled.Store(r.URL.Path, true)
 		_, _ = io.WriteString(w, r.URL.Path)
 	})}
-	go func() { _ = s.Serve(callerListener{l, s.conns}) }()
+	go func() { _ = s.Serve(s.conns.Listener(l)) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return s
 }
@@ -173,7 +173,7 @@
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		close(start)
-		if err := s.conns.drain(ctx, s.Server); err != nil {
+		if err := s.conns.Drain(ctx, s.Server); err != nil {
 			t.Errorf("drain: %v", err)
 		}
 		cancel()
@@ -189,18 +189,18 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	conns := newCallerConns()
+	conns := NewSet()
 	caller, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer caller.Close()
-	accepted, err := callerListener{l, conns}.Accept()
+	accepted, err := conns.Listener(l).Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := accepted.(*callerConn)
-	conns.track(c, http.StateIdle)
+	c := accepted.(*conn)
+	conns.Track(c, http.StateIdle)
 	_, _ = io.WriteString(caller, "GET")
 	for wire.StateOf(c.Conn) != wire.SocketReadable {
 		time.Sleep(time.Millisecond)
@@ -211,7 +211,7 @@
 		t.Fatalf("read %q, %v; %d connections count as busy", buf[:n], err, conns.busy())
 	}
 	// The request never becomes complete, and net/http gives up.
-	conns.track(c, http.StateClosed)
+	conns.Track(c, http.StateClosed)
 	if _, err := c.Conn.Read(buf); !errors.Is(err, net.ErrClosed) || conns.busy() != 0 {
 		t.Fatalf("the connection stays open: %v", err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/callerconn"
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/configsync"
 	"bilberryhub/internal/exchange"
@@ -93,7 +94,7 @@
 	callers      *http.Server
 	// callerListener is the listener of callers, and callerConns its connections.
 	callerListener net.Listener
-	callerConns    *callerConns
+	callerConns    *callerconn.Set
 	ready          *http.Server
 	admin          *observe.Admin
 
@@ -117,7 +118,7 @@
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
 		settings: s, dialect: d, log: log, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
-		callerConns: newCallerConns(), budget: newBudget(s), reachability: newReachability(), isolation: newIsolation(), suspects: newSuspects(), limits: newLimits(), notices: &notices{}, exchanges: exchange.NewPool(maxIdleConns),
+		callerConns: callerconn.NewSet(), budget: newBudget(s), reachability: newReachability(), isolation: newIsolation(), suspects: newSuspects(), limits: newLimits(), notices: &notices{}, exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.sendDatagram = func(data []byte, to netip.AddrPort) error {
 		_, err := g.udp.WriteToUDPAddrPort(data, to)
@@ -197,7 +198,7 @@
 	}
 	g.callers = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes, ErrorLog: debugLog,
-		ConnState: g.callerConns.track,
+		ConnState: g.callerConns.Track,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.dialect.ReadyPath(), g.serveReady)
@@ -209,7 +210,7 @@
 		}
 		if server == g.callers {
 			g.callerListener = l
-			l = callerListener{l, g.callerConns}
+			l = g.callerConns.Listener(l)
 		}
 		g.wg.Go(func() {
 			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !g.stopping.Load() {
@@ -288,7 +289,7 @@
 	g.endServing()
 	g.cancel()
 	_ = g.callers.Close()
-	g.callerConns.closeAll()
+	g.callerConns.CloseAll()
 	_ = g.ready.Close()
 	_ = g.udp.Close()
 	_ = g.peerServer.Close()
--- a/internal/gateway/peerconn.go
+++ b/internal/gateway/peerconn.go
@@ -25,6 +25,9 @@
 	maxPeersTried = 3
 	// peerAvoidTime is how long a gateway that couldn't help is not asked again.
 	peerAvoidTime = time.Second
+	// peerDrainPollInterval is the interval at which a planned stop checks for open
+	// connections of other gateways.
+	peerDrainPollInterval = 10 * time.Millisecond
 )
 
 var (
@@ -108,7 +111,7 @@
 // waitForPeers waits until the requests of other gateways have ended whose connections go
 // through this one, or ctx ends.
 func (g *Gateway) waitForPeers(ctx context.Context) {
-	for g.connects.Open() > 0 && sleep(ctx, drainPollInterval) {
+	for g.connects.Open() > 0 && sleep(ctx, peerDrainPollInterval) {
 	}
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -49,12 +49,12 @@
 	_ = g.callerListener.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, end-bootclock.Now()))
 	defer cancel()
-	err := g.callerConns.drain(ctx, g.callers)
+	err := g.callerConns.Drain(ctx, g.callers)
 	g.waitForPeers(ctx)
 	g.acceptsUntil.Store(math.MinInt64)
 	if err == nil {
 		// Requests that have begun since the connections were last counted.
-		err = g.callerConns.drain(ctx, g.callers)
+		err = g.callerConns.Drain(ctx, g.callers)
 	}
 	if err != nil {
 		g.failOpenRequests()
@@ -72,7 +72,7 @@
 	g.endServing()
 	ctx, cancel := context.WithTimeout(context.Background(), failTime)
 	defer cancel()
-	_ = g.callerConns.drain(ctx, g.callers)
+	_ = g.callerConns.Drain(ctx, g.callers)
 }
 
 // checkStop returns the refusal of a request that can't surely end before this process
