entry: a planned stop sends the responses of all requests that were read

Cause: a request counts as ended when its handler returns, and net/http sends the last bytes of the response afterwards. Close doesn't wait for them. At the drain limit, the responses of all aborted requests are sent at that moment.

Change: an entry process ends the connections of its callers as a gateway does (package callerconn), for 1.5 s at most, before it closes.

--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -41,7 +41,5 @@
 	}
 	sig := <-stop
 	log.Info("stopping", zap.Stringer("signal", sig))
-	err = server.Drain()
-	server.Close()
-	return err
+	return server.Stop()
 }
--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -237,10 +237,9 @@
 		}()
 	}
 	time.Sleep(300 * time.Millisecond)
-	if err := c.entries[0].Drain(); err == nil {
+	if err := c.entries[0].Stop(); err == nil {
 		t.Error("the stop states that no request was open")
 	}
-	c.entries[0].Close()
 	c.entries[0] = nil
 	for range requests {
 		if got := <-responses; got.err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -25,6 +25,7 @@
 
 	"bilberryhub/internal/announce"
 	"bilberryhub/internal/backend"
+	"bilberryhub/internal/callerconn"
 	"bilberryhub/internal/claim"
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/configsync"
@@ -44,6 +45,10 @@
 // readHeaderTimeout bounds the time in which a caller must send the headers.
 const readHeaderTimeout = 5 * time.Second
 
+// closeTime bounds the wait for the responses that are being sent at the end of a planned
+// stop, and for requests on connections that were just accepted.
+const closeTime = 1500 * time.Millisecond
+
 // idleTimeout is the time after which idle connections of callers are closed.
 const idleTimeout = 2 * time.Minute
 
@@ -79,6 +84,9 @@
 	wire     *wire.Server
 	callers  *http.Server
 	announce *http.Server
+	// callerListener is the listener of callers, and callerConns its connections.
+	callerListener net.Listener
+	callerConns    *callerconn.Set
 
 	// The listen addresses, with the ports that the operating system assigned.
 	callerAddress, announceAddress string
@@ -106,6 +114,7 @@
 		// set back by less than the time since the last start.
 		incarnation: uint64(time.Now().UnixNano()),
 		loop:        newLoop(), requests: newRequestTable(), open: newOpenDispatches(), isolation: newIsolation(),
+		callerConns: callerconn.NewSet(),
 	}
 	s.backends, s.connects = backend.NewClient(s.dialBackend(s.directDial())), s.newPeerServer(s.directDial())
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -143,13 +152,16 @@
 		return errors.Trace(err)
 	}
 	s.wg.Go(func() { s.sync.Run(s.ctx) })
-	if s.announce, s.announceAddress, err = s.listenHTTP(s.settings.AnnounceListen, s.announceMux()); err != nil {
+	announceListener, err := listen(s.settings.AnnounceListen)
+	if err != nil {
 		return errors.Trace(err)
 	}
+	s.announce, s.announceAddress = s.serveHTTP(announceListener, s.announceMux()), announceListener.Addr().String()
 	s.startControl()
-	if s.callers, s.callerAddress, err = s.listenHTTP(s.settings.Listen, s); err != nil {
+	if s.callerListener, err = listen(s.settings.Listen); err != nil {
 		return errors.Trace(err)
 	}
+	s.callers, s.callerAddress = s.serveHTTP(s.callerConns.Listener(s.callerListener), s), s.callerListener.Addr().String()
 	if s.settings.AdminListen != "" {
 		if err = s.admin.Serve(s.settings.AdminListen); err != nil {
 			return errors.Trace(err)
@@ -193,15 +205,19 @@
 	return backend.Dial
 }
 
-// listenHTTP starts an HTTP server and returns it with its listen address.
-func (s *Server) listenHTTP(address string, handler http.Handler) (*http.Server, string, error) {
+// listen listens for HTTP.
+func listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, "", errors.Annotatef(err, "listen on %s", address)
+	return l, errors.Annotatef(err, "listen on %s", address)
+}
+
+// serveHTTP starts an HTTP server.
+func (s *Server) serveHTTP(l net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: s.callerConns.Track,
 	}
-	httpServer := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	s.wg.Go(func() { _ = httpServer.Serve(l) })
-	return httpServer, l.Addr().String(), nil
+	s.wg.Go(func() { _ = server.Serve(l) })
+	return server
 }
 
 // applyConfig passes a new configuration to the control goroutine. A version without
@@ -233,6 +249,15 @@
 	return mux
 }
 
+// Stop performs a planned stop: it drains, and closes when each request that was read has
+// its response. The error is that of Drain.
+func (s *Server) Stop() error {
+	err := s.Drain()
+	s.endCallers()
+	s.Close()
+	return err
+}
+
 // Drain refuses new requests, hands over the dispatcher roles and waits until the
 // open requests have ended. If they have not ended within the drain limit, it aborts
 // them and returns an error.
@@ -266,6 +291,17 @@
 	return nil
 }
 
+// endCallers ends the connections of callers, after the responses to the requests that
+// were read. It waits for closeTime at most.
+func (s *Server) endCallers() {
+	ctx, cancel := context.WithTimeout(s.ctx, closeTime)
+	defer cancel()
+	_ = s.callerListener.Close()
+	if err := s.callerConns.Drain(ctx, s.callers); err != nil {
+		s.log.Warn("connections of callers are open at the end of the stop", observe.Error(err))
+	}
+}
+
 // waitForHandover waits until this process owns no backend server any more, at most
 // until each one has had the time for an announcement, in whose reply it receives the
 // address of the next dispatcher.
@@ -291,6 +327,7 @@
 				_ = httpServer.Close()
 			}
 		}
+		s.callerConns.CloseAll()
 		s.cancel()
 		if s.wire != nil {
 			_ = s.wire.Close()
