--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -4,9 +4,10 @@
 package freeport
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/juju/errors"
@@ -32,40 +33,52 @@
 
 var ofProcess allocator
 
-// Address returns an address of a local IP on which nothing listens. No other call
-// returns its port, in this process or another one. It panics if there is none, since a
-// test can't go on then.
-func Address(ip string) string {
-	address, err := ofProcess.take(ip)
+// Address returns an address of a local IP on which nothing listens; see Port.
+func Address(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(Port(ip))) }
+
+// Port returns a port on which nothing listens at any of the local IPs. No other call
+// returns it, in this process or another one. It panics if there is none, since a test
+// can't go on then.
+func Port(ips ...string) int {
+	port, err := ofProcess.take(ips...)
 	if err != nil {
 		panic(err)
 	}
-	return address
+	return port
 }
 
-// take returns the next address that is free.
-func (a *allocator) take(ip string) (string, error) {
+// take returns the next port that is free.
+func (a *allocator) take(ips ...string) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for {
 		if a.next == a.end {
 			if err := a.reserve(); err != nil {
-				return "", err
+				return 0, err
 			}
 		}
-		address := net.JoinHostPort(ip, fmt.Sprint(a.next))
+		port := a.next
 		a.next++
-		if l, err := net.Listen("tcp", address); err == nil {
-			return address, l.Close()
+		if !slices.ContainsFunc(ips, func(ip string) bool { return isInUse(ip, port) }) {
+			return port, nil
 		}
 	}
 }
 
+// isInUse reports whether a port can't be listened on.
+func isInUse(ip string, port int) bool {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+	if err != nil {
+		return true
+	}
+	return l.Close() != nil
+}
+
 // reserve reserves another block.
 func (a *allocator) reserve() error {
 	for _, block := range rand.Perm((endPort - lowestPort) / blockPorts) {
 		first := lowestPort + block*blockPorts
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first)))
 		if err != nil {
 			continue
 		}
--- a/internal/freeport/freeport_test.go
+++ b/internal/freeport/freeport_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"os"
 	"testing"
 )
@@ -17,20 +16,19 @@
 		t.Fatal(err)
 	}
 	const perProcess = blockPorts + 10
-	taken := map[uint16]int{}
+	taken := map[int]int{}
 	var processes [3]allocator
 	for range perProcess {
 		for p := range processes {
-			address, err := processes[p].take("127.0.0.1")
+			port, err := processes[p].take("127.0.0.1", "127.0.3.1")
 			if err != nil {
 				t.Fatal(err)
 			}
-			port := netip.MustParseAddrPort(address).Port()
 			if other, ok := taken[port]; ok {
 				t.Fatalf("processes %d and %d both get port %d", other, p, port)
 			}
 			taken[port] = p
-			if int(port) >= lowestEphemeral {
+			if port >= lowestEphemeral {
 				t.Fatalf("port %d is an ephemeral port", port)
 			}
 		}
