bench: the forwarder of the test doesn't break exchanges off

Known red: TestExperimentEndToEnd, "stream_broken" for one of 66 requests.

Cause: the forwarder, an httputil.ReverseProxy in place of an entry process. A server of net/http closes the body of a request when its response begins, unless the end of the body was seen. The transport of the proxy, which waits for that end after it has sent the whole body, gets an error and closes the connection to the engine ("read error during body copy: use of closed network connection", seen in the failing runs). Ids that concurrent requests shared are ruled out: with ids of their own alone, as many runs fail.

Change: EnableFullDuplex in the forwarder; ids are unique as well.

--- a/internal/bench/compare_test.go
+++ b/internal/bench/compare_test.go
@@ -32,10 +32,18 @@
 	var next atomic.Uint64
 	transport := &http.Transport{}
 	proxy := &httputil.ReverseProxy{Transport: transport, FlushInterval: -1, Rewrite: func(r *httputil.ProxyRequest) {
-		r.SetURL(&url.URL{Scheme: "http", Host: engines[next.Add(1)%uint64(len(engines))]})
-		r.Out.Header.Set("X-Request-Id", fmt.Sprint("r", next.Load()))
+		n := next.Add(1)
+		r.SetURL(&url.URL{Scheme: "http", Host: engines[n%uint64(len(engines))]})
+		r.Out.Header.Set("X-Request-Id", fmt.Sprint("r", n))
 	}}
-	s := httptest.NewServer(proxy)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Otherwise the server closes the body of the request when the response begins. A
+		// transport that still waits for the end of the body then breaks the exchange off.
+		if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+			t.Error(err)
+		}
+		proxy.ServeHTTP(w, r)
+	}))
 	t.Cleanup(func() { s.Close(); transport.CloseIdleConnections() })
 	return strings.TrimPrefix(s.URL, "http://")
 }
