control: a change that comes again isn't validated again

Known red: TestChangeIsFullyCheckedOnce, 4 full checks of 3 changes.

Cause: a change whose proposal had no outcome, or which was accepted and not applied at this process yet, was translated and validated again when the operator sent it again. With 1,840 routes that takes most of a second on a control VM, and comes while the process is slow already.

Change: the last valid document is kept, by its digest, with its manifest.

--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -36,7 +36,8 @@
 // A change is completed even if ctx ends: its sender retries at another process
 // after a time that may be shorter than the change takes, and would never get an
 // acknowledgement if each attempt was abandoned. A document that is in force or
-// being applied at this process is not processed again.
+// being applied at this process is not processed again, and the last one that was valid
+// isn't validated again: it may have had no outcome, or not be in force here yet.
 func (s *Service) Apply(ctx context.Context, document []byte, translate Translate) error {
 	if s.isInForce(document) {
 		resentChanges.Inc()
@@ -45,7 +46,7 @@
 	}
 	digest := sha256.Sum256(document)
 	_, err, shared := s.changes.Do(string(digest[:]), func() (any, error) {
-		return nil, s.apply(context.WithoutCancel(ctx), document, translate)
+		return nil, s.apply(context.WithoutCancel(ctx), digest, document, translate)
 	})
 	if shared {
 		resentChanges.Inc()
@@ -53,34 +54,32 @@
 	return errors.Trace(err)
 }
 
+// checkedManifest is a manifest that was translated from a document and is valid.
+type checkedManifest struct {
+	// digest is that of the document.
+	digest  [sha256.Size]byte
+	number  uint64
+	content []byte
+}
+
 // apply translates and validates a document, and proposes its manifest.
-func (s *Service) apply(ctx context.Context, document []byte, translate Translate) error {
-	started := bootclock.Now()
-	number, content, err := translate(document)
-	translated := bootclock.Now()
-	translateSeconds.Update((translated - started).Seconds())
-	log := s.log.With(zap.Uint64("number", number), zap.Int("bytes", len(content)),
-		observe.Milliseconds("translate_ms", translated-started))
-	if err == nil {
-		_, err = manifest.Parse(content)
-	}
-	checked := bootclock.Now()
-	checkSeconds.Update((checked - translated).Seconds())
-	log = log.With(observe.Milliseconds("check_ms", checked-translated))
+func (s *Service) apply(ctx context.Context, digest [sha256.Size]byte, document []byte, translate Translate) error {
+	m, log, err := s.check(digest, document, translate)
 	if err != nil {
 		log.Info("manifest refused", observe.Error(err))
-		return &InvalidError{err.Error()}
+		return err
 	}
-	if inForce := s.numberInForce(); number <= inForce {
+	checked := bootclock.Now()
+	if inForce := s.numberInForce(); m.number <= inForce {
 		outcome := statemachine.CodeManifestOutdated
-		if number == inForce {
+		if m.number == inForce {
 			outcome = statemachine.CodeManifestConflict
 		}
 		log.Info("manifest accepted", zap.String("outcome", outcome), zap.Uint64("number_in_force", inForce))
 		return nil
 	}
 	result, err := s.propose(ctx, &wirepb.Command{Body: &wirepb.Command_ApplyManifest{
-		ApplyManifest: &wirepb.ApplyManifest{Number: number, Content: content},
+		ApplyManifest: &wirepb.ApplyManifest{Number: m.number, Content: m.content},
 	}})
 	proposed := bootclock.Now() - checked
 	proposeSeconds.Update(proposed.Seconds())
@@ -99,6 +98,31 @@
 	return &InvalidError{result.GetMessage()}
 }
 
+// check returns the valid manifest of a document, and a logger with what is known of it.
+// The error is an *InvalidError.
+func (s *Service) check(digest [sha256.Size]byte, document []byte, translate Translate) (*checkedManifest, *zap.Logger, error) {
+	if m := s.checked.Load(); m != nil && m.digest == digest {
+		return m, s.log.With(zap.Uint64("number", m.number), zap.Int("bytes", len(m.content)), zap.Bool("checked_before", true)), nil
+	}
+	started := bootclock.Now()
+	number, content, err := translate(document)
+	translated := bootclock.Now()
+	translateSeconds.Update((translated - started).Seconds())
+	if err == nil {
+		_, err = manifest.Parse(content)
+	}
+	checked := bootclock.Now()
+	checkSeconds.Update((checked - translated).Seconds())
+	log := s.log.With(zap.Uint64("number", number), zap.Int("bytes", len(content)),
+		observe.Milliseconds("translate_ms", translated-started), observe.Milliseconds("check_ms", checked-translated))
+	if err != nil {
+		return nil, log, &InvalidError{err.Error()}
+	}
+	m := &checkedManifest{digest, number, content}
+	s.checked.Store(m)
+	return m, log, nil
+}
+
 // numberInForce returns the number of the manifest applied at this process, or 0 if
 // there is none. Manifests with a lower number can never come into force.
 func (s *Service) numberInForce() uint64 {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,6 +16,7 @@
 	"encoding/hex"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -85,6 +86,8 @@
 
 	// changes are the changes in progress, by the digest of their document.
 	changes singleflight.Group
+	// checked is the last manifest that was valid.
+	checked atomic.Pointer[checkedManifest]
 
 	// stalls are the times in which the process didn't run.
 	stalls stalls
