soak: calls to simulated backend servers don't open connections

Known red: calls of the tests themselves to stand-ins (/admin/stats, effects) had no response within a second (TestProcessFaults, TestSoak).

Cause, shown beside 24 busy processes: the calls were not connected in that second, or after 1.0007 s, when the first packet of a connection is sent again; the test itself ran at most 0.1 s late meanwhile. A call that fails says now what it waited for.

Change: connections to stand-ins, which never restart, are kept. The limit of a call stays at one second.

--- a/internal/soak/observe_test.go
+++ b/internal/soak/observe_test.go
@@ -7,9 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"regexp"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"bilberryhub/internal/standin"
 )
@@ -27,15 +31,31 @@
 // fetch returns the body at a path of an admin address. A status other than 200 is
 // an error.
 func (c *cluster) fetch(address, path string) ([]byte, error) {
+	return fetch(c.http, address, path)
+}
+
+// fetchFromStandin decodes the JSON document at a path of a simulated backend server into
+// the value that into points to.
+func (c *cluster) fetchFromStandin(p *standinProcess, path string, into any) error {
+	data, err := fetch(c.standinHTTP, p.admin, path)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
+
+// fetch is cluster.fetch with a client.
+func fetch(client *http.Client, address, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	var steps callSteps
+	req, err := http.NewRequestWithContext(steps.trace(ctx), http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w (%s)", err, &steps)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -44,13 +64,82 @@
 	return io.ReadAll(resp.Body)
 }
 
+// callSteps records when the steps of a call ended, so that the error of a call without a
+// response tells what it waited for, and whether this process ran meanwhile.
+type callSteps struct {
+	began              time.Time
+	connected, written atomic.Int64 // ns after began, or 0
+}
+
+// trace returns a context whose calls are recorded.
+func (s *callSteps) trace(ctx context.Context) context.Context {
+	s.began = time.Now()
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { s.connected.Store(int64(time.Since(s.began))) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { s.written.Store(int64(time.Since(s.began))) },
+	})
+}
+
+func (s *callSteps) String() string {
+	return fmt.Sprintf("connected after %v, request written after %v, ended after %v; the test itself ran up to %v late since",
+		time.Duration(s.connected.Load()), time.Duration(s.written.Load()), time.Since(s.began), lateness.since(s.began))
+}
+
+// lateness measures how late this process runs, which tells a process that doesn't respond
+// from a machine that is busy.
+var lateness = startLatenessMeter()
+
+// latenessInterval is the interval of measurements, and latenessHistory their number.
+const (
+	latenessInterval = 10 * time.Millisecond
+	latenessHistory  = 500
+)
+
+// latenessMeter holds the last measurements.
+type latenessMeter struct {
+	mu   sync.Mutex
+	late [latenessHistory]struct {
+		at time.Time
+		by time.Duration
+	}
+}
+
+// startLatenessMeter returns a meter that measures as long as the process runs.
+func startLatenessMeter() *latenessMeter {
+	m := &latenessMeter{}
+	go func() {
+		for i := 0; ; i = (i + 1) % latenessHistory {
+			due := time.Now().Add(latenessInterval)
+			time.Sleep(latenessInterval)
+			now := time.Now()
+			m.mu.Lock()
+			m.late[i].at, m.late[i].by = now, now.Sub(due)
+			m.mu.Unlock()
+		}
+	}()
+	return m
+}
+
+// since returns the largest delay that was measured since a time.
+func (m *latenessMeter) since(t time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	largest := time.Duration(0)
+	for _, l := range m.late {
+		if l.at.After(t) {
+			largest = max(largest, l.by)
+		}
+	}
+	return largest
+}
+
 // engineStats returns the counters of all engines by id. The simulated backend
 // servers are never paused, so a failure to read the counters fails the test.
 func (c *cluster) engineStats() map[string]standin.StatsDocument {
 	out := map[string]standin.StatsDocument{}
 	for _, p := range c.standins {
 		var docs []standin.StatsDocument
-		if err := c.fetchJSON(p.admin, "/admin/stats", &docs); err != nil {
+		if err := c.fetchFromStandin(p, "/admin/stats", &docs); err != nil {
 			c.t.Errorf("stats of %s: %v", p.name, err)
 			continue
 		}
@@ -69,7 +158,7 @@
 	out := map[string]int{}
 	for _, p := range c.standins {
 		var runs map[string]int
-		if err := c.fetchJSON(p.admin, "/admin/instances/"+p.plainID+"/effects", &runs); err != nil {
+		if err := c.fetchFromStandin(p, "/admin/instances/"+p.plainID+"/effects", &runs); err != nil {
 			c.t.Errorf("effects of %s: %v", p.name, err)
 		}
 		for id, n := range runs {
@@ -91,7 +180,7 @@
 	if err != nil {
 		panic(err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.standinHTTP.Do(req)
 	if err != nil {
 		c.t.Errorf("faults of %s: %v", id, err)
 		return
--- a/internal/soak/setup_test.go
+++ b/internal/soak/setup_test.go
@@ -53,13 +53,17 @@
 
 // cluster is a running cluster of real processes.
 type cluster struct {
-	t              *testing.T
-	layout         layout
-	dir            string
-	states         []*stateProcess
-	entries        []*entryProcess
-	standins       []*standinProcess
-	http           *http.Client
+	t        *testing.T
+	layout   layout
+	dir      string
+	states   []*stateProcess
+	entries  []*entryProcess
+	standins []*standinProcess
+	http     *http.Client
+	// standinHTTP keeps its connections to the simulated backend servers, which never
+	// restart: a busy machine loses packets on loopback as well, and the first packet of a
+	// connection is sent again only after a second.
+	standinHTTP    *http.Client
 	manifestNumber uint64
 }
 
@@ -103,7 +107,10 @@
 // newCluster starts a cluster and waits until every entry process serves.
 func newCluster(t *testing.T, l layout) *cluster {
 	t.Helper()
-	c := &cluster{t: t, layout: l, dir: newDir(t), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	c := &cluster{
+		t: t, layout: l, dir: newDir(t), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		standinHTTP: &http.Client{Transport: &http.Transport{}},
+	}
 	t.Cleanup(c.stop)
 	c.addStates()
 	c.addEntries()
