soak: a busy machine isn't a stand-in that doesn't respond

Known red: calls of the tests themselves to stand-ins (/admin/stats, effects) had no response within a second (TestProcessFaults, TestSoak).

Cause, shown beside 24 busy processes and a build (load 46 to 57 on 8 cores; 4 of 5 runs fail): in 10 of 16 calls that failed, the test itself needed 0.5 to 1.1 s to write the request after it was connected, a step in which no other process takes part ("connected after 54.982µs, request written after 1.040975538s"). One waited for a connection, and five for the stand-in.

Change: calls to stand-ins, which are never paused, may take 10 s. Where the counters of a moment are the beginning of a check (requests after an exclusion), one second stays the limit.

--- a/internal/soak/setup_test.go
+++ b/internal/soak/setup_test.go
@@ -35,6 +35,10 @@
 	pollInterval = 20 * time.Millisecond
 	// adminTimeout bounds one admin request to a process, which may be paused.
 	adminTimeout = time.Second
+	// standinTimeout bounds one admin request to a simulated backend server, which is never
+	// paused. It only bounds the wait of the test: on a busy machine the test itself may
+	// take a second to send a request.
+	standinTimeout = 10 * time.Second
 )
 
 // layout holds the settings in which the clusters of the tests differ.
