--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -198,8 +198,7 @@
 }
 
 // expired returns the final response at the deadline, or at the end of this process. If
-// the caller has
-// disconnected it panics with http.ErrAbortHandler instead.
+// the caller has disconnected it panics with http.ErrAbortHandler instead.
 func (g *Gateway) expired(ctx context.Context, r *request, ran bool, buffered *bufferedResponse) error {
 	if errors.Is(r.http.Context().Err(), context.Canceled) && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r.outcome, r.status = "caller left", statusCallerLeft
--- a/internal/reach/isolation.go
+++ b/internal/reach/isolation.go
@@ -28,8 +28,9 @@
 //
 // Only attempts to connect count. Datagrams of peers say nothing about the path to
 // backend servers, and connections that were open before may live on while new ones are
-// refused. If they live on while new ones time out, the path works, and is overloaded. An Isolation is not safe for concurrent use; the zero value
-// is ready to use.
+// refused. If they live on while new ones time out, the path works, and is overloaded.
+//
+// An Isolation is not safe for concurrent use; the zero value is ready to use.
 type Isolation struct {
 	// failed holds the last failed attempts at backend servers since a connection
 	// succeeded; restored holds the backend servers at which one succeeded since one failed.
