control: a late copy of a replica's end doesn't end its next lifetime

As the end of a lifetime supersedes its announcements, the replica got no requests until its next start: "no backend server is in service".

Cause: the call states no lifetime, and was applied to the one that was in the table when it was handled.

Change: it ends the lifetime that was announced on the same connection. On another connection it is refused if it may have waited while the process didn't run and its caller has left.

--- a/internal/control/caller.go
+++ b/internal/control/caller.go
@@ -26,10 +26,60 @@
 	settleTime = 500 * time.Millisecond
 )
 
+// maxLifetimes bounds the backend servers that a connection remembers. Beyond it, all are
+// forgotten.
+const maxLifetimes = 64
+
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
 	acceptedAt time.Duration
+
+	mu sync.Mutex
+	// lifetimes holds, by id, the start of the lifetime in Unix milliseconds of each
+	// backend server that was last announced on this connection.
+	lifetimes map[string]uint64
+}
+
+// recordLifetime records that a backend server was announced on the connection of ctx.
+func recordLifetime(ctx context.Context, id string, bornMs uint64) {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok || bornMs == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lifetimes == nil || len(c.lifetimes) >= maxLifetimes {
+		c.lifetimes = map[string]uint64{}
+	}
+	c.lifetimes[id] = bornMs
+}
+
+// lifetime returns the start of the lifetime of a backend server that was announced on
+// this connection, or 0.
+func (c *callerConn) lifetime(id string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lifetimes[id]
+}
+
+// lifetimeOf returns the start of the lifetime of a backend server whose end was announced
+// without one: that which was announced on the same connection, or 0 if none was. A call
+// that was held up, in a process that didn't run or on its way, may come after the next
+// lifetime has begun. On a connection of its own, such a call is refused if it may have
+// waited while this process didn't run and its caller has left.
+func (s *Service) lifetimeOf(ctx context.Context, id string) (uint64, error) {
+	now := bootclock.Now()
+	c := s.newCall(ctx)
+	if c.conn != nil {
+		if bornMs := c.conn.lifetime(id); bornMs != 0 {
+			return bornMs, nil
+		}
+	}
+	if s.stalls.earliestArrival(now) < now && c.hasLeft() {
+		return 0, errors.Annotate(ErrUnavailable, "the caller has left")
+	}
+	return 0, nil
 }
 
 // call is a call of an operator that is being handled.
@@ -46,7 +96,7 @@
 // WithCallerConn returns a context with a connection that was just accepted, for the
 // ConnContext of an http.Server.
 func WithCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, &callerConn{conn, bootclock.Now()})
+	return context.WithValue(ctx, connKey{}, &callerConn{Conn: conn, acceptedAt: bootclock.Now()})
 }
 
 // newCall returns the call whose handler begins now.
@@ -67,7 +117,7 @@
 // connection, and a close may be lost on the way.
 func (c *call) mustWait(now time.Duration) error {
 	switch {
-	case c.ctx.Err() != nil || (c.conn != nil && wire.StateOf(c.conn.Conn) == wire.SocketEnded):
+	case c.hasLeft():
 		return errors.New("the caller has left")
 	case now-c.sentAfter > maxCallAge:
 		return errors.Errorf("the call may have been sent %v ago, and its caller has moved on", now-c.sentAfter)
@@ -75,6 +125,11 @@
 	return nil
 }
 
+// hasLeft reports whether the caller has closed its connection.
+func (c *call) hasLeft() bool {
+	return c.ctx.Err() != nil || (c.conn != nil && wire.StateOf(c.conn.Conn) == wire.SocketEnded)
+}
+
 // stalls records the last time in which the process didn't run. What arrives meanwhile
 // waits in the sockets, and the time at which it is read doesn't tell its age.
 type stalls struct {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -123,8 +123,9 @@
 // Announce records an announcement and forwards it to all gateways: a change at once,
 // a repetition with a later update. That a backend server drains was sent to the
 // gateways when Announce returns. It returns ErrUnavailable if no gateway is subscribed.
-func (s *Service) Announce(b fleet.BackendServer) error {
+func (s *Service) Announce(ctx context.Context, b fleet.BackendServer) error {
 	announcements.Inc()
+	recordLifetime(ctx, b.ID, b.BornMs)
 	return s.change(func(now time.Duration) []*fleet.BackendServer {
 		b.SeenAt = now
 		return s.feed.Announce(b)
@@ -133,8 +134,15 @@
 
 // Leave records that a backend server has left, which was sent to the gateways when
 // Leave returns. BornMs is the start of its lifetime in Unix milliseconds, or 0 if the
-// sender does not state it. It returns ErrUnavailable if no gateway is subscribed.
-func (s *Service) Leave(id string, bornMs uint64) error {
+// sender does not state it. It returns ErrUnavailable if no gateway is subscribed, or if
+// the call may have waited and the sender has left.
+func (s *Service) Leave(ctx context.Context, id string, bornMs uint64) error {
+	if bornMs == 0 {
+		var err error
+		if bornMs, err = s.lifetimeOf(ctx, id); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	return s.change(func(now time.Duration) []*fleet.BackendServer { return s.feed.Leave(id, bornMs, now) })
 }
 
--- a/internal/control/peers_test.go
+++ b/internal/control/peers_test.go
@@ -89,13 +89,13 @@
 	subscribe(t, firstServer.Address(), "g1", ignore)
 	subscribe(t, secondServer.Address(), "g1", ignore)
 	server := fleet.BackendServer{ID: "b1", Service: "model", Address: "10.0.0.1:80", BornMs: 5, Sequence: 1}
-	eventually(t, "a gateway is subscribed", func() bool { return first.Announce(server) == nil })
+	eventually(t, "a gateway is subscribed", func() bool { return first.Announce(t.Context(), server) == nil })
 	eventually(t, "both know the backend server", func() bool {
 		second.mu.Lock()
 		defer second.mu.Unlock()
 		return len(second.feed.Servers()) == 1
 	})
-	eventually(t, "its end is acknowledged", func() bool { return second.Leave("b1", 5) == nil })
+	eventually(t, "its end is acknowledged", func() bool { return second.Leave(t.Context(), "b1", 5) == nil })
 	eventually(t, "the first process knows the end", func() bool {
 		first.mu.Lock()
 		defer first.mu.Unlock()
@@ -141,9 +141,9 @@
 	})
 	b := fleet.BackendServer{ID: "b1", Address: "10.0.0.1:80", BornMs: 5, Sequence: 1}
 	for i, step := range []func() error{
-		func() error { return s.Announce(b) },
-		func() error { b.Draining, b.Sequence = true, 2; return s.Announce(b) },
-		func() error { return s.Leave("b1", 5) },
+		func() error { return s.Announce(t.Context(), b) },
+		func() error { b.Draining, b.Sequence = true, 2; return s.Announce(t.Context(), b) },
+		func() error { return s.Leave(t.Context(), "b1", 5) },
 	} {
 		began := time.Now()
 		if err := step(); err != nil {
