--- a/internal/soak/setup_test.go
+++ b/internal/soak/setup_test.go
@@ -65,8 +65,7 @@
 	standins []*standinProcess
 	http     *http.Client
 	// standinHTTP keeps its connections to the simulated backend servers, which never
-	// restart: a busy machine loses packets on loopback as well, and the first packet of a
-	// connection is sent again only after a second.
+	// restart: on a busy machine a connection may take over a second to open.
 	standinHTTP    *http.Client
 	manifestNumber uint64
 }
