gateway: log how each response has ended

attempt ended says how the body was framed, whether its end was orderly, when it was read, the time that the backend server was given, the last event, the time left to the caller and the gateway that connected.

No change of behaviour.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -394,6 +394,27 @@
 	return nil, errors.Annotatef(ErrTooLarge, "more than %d informational responses", maxInformational)
 }
 
+// Framing is what marks the end of the body of a response.
+type Framing string
+
+// The framings.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection"
+)
+
+// Framing returns how the body is framed.
+func (resp *Response) Framing() Framing {
+	switch {
+	case isChunked(resp.parsed):
+		return FramedByChunks
+	case resp.parsed.ContentLength >= 0:
+		return FramedByLength
+	}
+	return FramedByConnection
+}
+
 // isChunked reports whether the body has the chunked transfer encoding.
 func isChunked(r *http.Response) bool {
 	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
@@ -466,8 +487,7 @@
 	if resp.conn.isSingleUse {
 		return false
 	}
-	hasFraming := resp.parsed.ContentLength >= 0 || isChunked(resp.parsed)
-	return resp.conn.writeErr == nil && hasFraming && !resp.parsed.Close && resp.conn.r.Buffered() == 0
+	return resp.conn.writeErr == nil && resp.Framing() != FramedByConnection && !resp.parsed.Close && resp.conn.r.Buffered() == 0
 }
 
 // idleTimeout returns how long a connection may stay idle after a response with
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,6 +75,14 @@
 	// receivedAt is when something was last received, in ns. Other goroutines read them.
 	isDirect   atomic.Bool
 	receivedAt atomic.Int64
+	// allowed is the time that the backend server was given, from sent on, after which it
+	// stops work.
+	allowed time.Duration
+	// path is the path of the request. framing says what marks the end of the response's body,
+	// empty without a response, and end how the body has ended.
+	path    connPath
+	framing exchange.Framing
+	end     bodyEnd
 	// isQuarantined is set when the attempt is canceled because its request is
 	// suspected of crashing backend servers.
 	isQuarantined atomic.Bool
@@ -283,16 +291,19 @@
 	r.attempts++
 	// While the request is being sent, the attempt may be moved already.
 	a.isDirect.Store(!g.isolation.isIsolated())
-	response, isDirect, err := g.send(ctx, a.pick.backend, len(r.tried) == 0, exchange.Request{
+	a.allowed = remaining
+	response, path, err := g.send(ctx, a.pick.backend, len(r.tried) == 0, exchange.Request{
 		Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
 		Header: g.dialect.EncodeDispatch(r.http, r.caller, a.dispatch(remaining)), Body: r.body,
 		NewConnection: !r.route.Idempotent(),
 		Matches:       func(h http.Header) bool { return g.dialect.IsResponseTo(h, r.caller.ID) },
 	})
-	a.isDirect.Store(isDirect)
+	a.path = path
+	a.isDirect.Store(path.isDirect)
 	if err != nil {
 		return a.handleError(err, stall)
 	}
+	a.framing = response.Framing()
 	defer response.Close()
 	a.recordReceived(bootclock.Now())
 	g.recordContact(a.pick.backend.FailureDomain)
@@ -476,6 +487,7 @@
 func (a *attempt) handleResponse(response *exchange.Response, stall *watchdog) attemptResult {
 	body, err := response.ReadAll(maxResponseBytes)
 	now := bootclock.Now()
+	a.recordEnd(err, now)
 	if err != nil {
 		a.err = err
 		if a.isQuarantined.Load() {
@@ -521,21 +533,3 @@
 	_, err := r.w.Write(buffered.body)
 	return errors.Annotate(err, "write answer")
 }
-
-// logAttempt logs the end of an attempt.
-func (g *Gateway) logAttempt(a *attempt, result attemptResult) {
-	names := [...]string{"served", "not run", "may have run", "answered with a failure", "caller gone"}
-	helpers := make([]string, 0, len(a.pick.helpers))
-	for _, h := range a.pick.helpers {
-		helpers = append(helpers, h.ID)
-	}
-	now := bootclock.Now()
-	g.log.Info("attempt ended", zap.String("request_id", a.r.caller.ID), zap.Int("attempt", len(a.r.tried)+1),
-		zap.String("backend_server", a.pick.backend.ID), zap.String("outcome", names[result]), zap.Strings("helpers", helpers),
-		zap.Float64("predicted_ms", a.pick.predictedMs), zap.Int64("prompt_tokens", a.r.caller.PromptTokens), zap.Float64("waited_ms", ms(a.r.waited)), zap.Int64("output_tokens", a.r.caller.OutputTokens),
-		zap.Int64("expected_output_tokens", a.r.caller.ExpectedOutputTokens),
-		zap.Int("open_there", a.pick.open), zap.Float64("slowness", a.pick.slowness), zap.Int("candidates", a.pick.candidates),
-		zap.Float64("first_event_ms", a.firstMs), zap.Float64("longest_pause_ms", a.pauseMs),
-		zap.Duration("announced_ago", a.pick.job.sent-a.pick.backend.SeenAt), zap.Uint64("config_index", a.r.version.Index),
-		zap.Duration("config_age", a.r.configAge), zap.Float64("took_ms", ms(now-a.pick.job.sent)), observe.Error(a.err))
-}
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -230,7 +230,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashConfirmTimeout)
 	defer cancel()
-	conn, err := g.dialThroughPeer(ctx, b)
+	conn, _, err := g.dialThroughPeer(ctx, b)
 	switch {
 	case err == nil:
 		_ = conn.Close()
--- a/internal/gateway/peerconn.go
+++ b/internal/gateway/peerconn.go
@@ -37,25 +37,34 @@
 
 var errNoPeer = errors.New("no other gateway can connect")
 
+// connPath is the path of a request to a backend server.
+type connPath struct {
+	// isDirect is set if an own connection of this gateway was chosen.
+	isDirect bool
+	// gateway is the id of the other gateway that connected; empty if this one did.
+	gateway string
+}
+
 // send sends a request to a backend server, on an own connection or through another
 // gateway. If no other gateway can connect, an own connection is tried nevertheless if
 // triesItself is set.
-func (g *Gateway) send(ctx context.Context, b *fleet.BackendServer, triesItself bool, r exchange.Request) (response *exchange.Response, isDirect bool, err error) {
+func (g *Gateway) send(ctx context.Context, b *fleet.BackendServer, triesItself bool, r exchange.Request) (response *exchange.Response, path connPath, err error) {
 	now := bootclock.Now()
 	r.Address = b.Address
-	if isDirect = g.isolation.usesOwnConnection(now, g.random()); isDirect {
+	if path.isDirect = g.isolation.usesOwnConnection(now, g.random()); path.isDirect {
 		r.Dialed = func(err error) { g.recordDial(b, now, err) }
 	} else {
 		r.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
-			conn, err := g.dialThroughPeer(ctx, b)
+			conn, gatewayID, err := g.dialThroughPeer(ctx, b)
 			if err != nil && triesItself && saysNothing(err) && ctx.Err() == nil {
 				return g.dialItself(ctx, b, err)
 			}
+			path.gateway = gatewayID
 			return conn, err
 		}
 	}
 	response, err = g.exchanges.Do(ctx, r)
-	return response, isDirect, err
+	return response, path, err
 }
 
 // dialItself connects to a backend server on an own connection although this gateway
@@ -72,25 +81,24 @@
 	return conn, nil
 }
 
-// dialThroughPeer connects to a backend server through another gateway; see saysNothing
-// for its errors.
-func (g *Gateway) dialThroughPeer(ctx context.Context, b *fleet.BackendServer) (net.Conn, error) {
-	err := errNoPeer
+// dialThroughPeer connects to a backend server through another gateway, whose id it
+// returns; see saysNothing for its errors.
+func (g *Gateway) dialThroughPeer(ctx context.Context, b *fleet.BackendServer) (conn net.Conn, gatewayID string, err error) {
+	err = errNoPeer
 	for _, p := range g.members.connectingGateways(b.FailureDomain, maxPeersTried) {
-		var conn net.Conn
 		conn, err = peerconn.Dial(ctx, g.ctx, g.members.clients.Get(p.address), peerconn.Target{ID: b.ID, Address: b.Address})
 		if err == nil {
 			peerConnections.Inc()
-			return conn, nil
+			return conn, p.id, nil
 		}
 		peerFailures.Inc()
 		if !saysNothing(err) || ctx.Err() != nil {
-			return nil, err
+			return nil, "", err
 		}
 		g.members.avoidGateway(p.id, bootclock.Now()+peerAvoidTime)
 		g.log.Info("gateway couldn't connect for this one", zap.String("gateway", p.id), zap.String("backend_server", b.ID), observe.Error(err))
 	}
-	return nil, err
+	return nil, "", err
 }
 
 // saysNothing reports whether a failed connection says nothing about the backend server.
