gateway: an end at the backend server's deadline isn't the end of a response

A backend server stops work at the time that it was sent, and a real one then ends its response in an orderly way, last chunk included. The gateway sent it the time until the end of its own attempt, rounded down to a millisecond, so that both fell into the same millisecond and the end of the response was often read first. Framing marks the end of a body, it doesn't say that the body is whole.

Now the backend server is given the time until the deadline of the request, rounded up, and the attempt ends responseMargin (20 ms) before it. An end that is read later than the backend server may have stopped, less a tolerance for rounding, counts as broken, unless the length of the body shows that it is whole. This holds however late the gateway is scheduled, as the backend server's time begins after the gateway's; the time is counted on the clock that goes on while a VM is suspended. The time is now taken after memory was reserved, which may last some hundred ms.

Weighed: to drop ends near the time that was sent and leave the time as it is (drops whole responses, and the width of "near" depends on the scheduling of two processes); to count events (the protocol names no number).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -287,14 +287,14 @@
 	if a.err = g.noticeError(a.pick.job.backend); a.err != nil {
 		return notRun
 	}
-	a.sent = now
+	a.sent = bootclock.Now()
+	a.allowed = allowedTime(r.deadline - a.sent)
 	r.attempts++
 	// While the request is being sent, the attempt may be moved already.
 	a.isDirect.Store(!g.isolation.isIsolated())
-	a.allowed = remaining
 	response, path, err := g.send(ctx, a.pick.backend, len(r.tried) == 0, exchange.Request{
 		Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
-		Header: g.dialect.EncodeDispatch(r.http, r.caller, a.dispatch(remaining)), Body: r.body,
+		Header: g.dialect.EncodeDispatch(r.http, r.caller, a.dispatch()), Body: r.body,
 		NewConnection: !r.route.Idempotent(),
 		Matches:       func(h http.Header) bool { return g.dialect.IsResponseTo(h, r.caller.ID) },
 	})
@@ -325,11 +325,10 @@
 	return a.handleResponse(response, stall)
 }
 
-// dispatch returns what the gateway adds to the caller's request. remaining is
-// the time until the attempt's deadline.
-func (a *attempt) dispatch(remaining time.Duration) Dispatch {
+// dispatch returns what the gateway adds to the caller's request.
+func (a *attempt) dispatch() Dispatch {
 	d := Dispatch{
-		BackendServer: a.pick.backend.ID, WaitFor: remaining, LastEvent: a.r.caller.LastEvent, Urgency: a.r.urgency(),
+		BackendServer: a.pick.backend.ID, WaitFor: a.allowed, LastEvent: a.r.caller.LastEvent, Urgency: a.r.urgency(),
 	}
 	if a.r.account != nil {
 		d.Account = a.r.account.Name
@@ -487,7 +486,7 @@
 func (a *attempt) handleResponse(response *exchange.Response, stall *watchdog) attemptResult {
 	body, err := response.ReadAll(maxResponseBytes)
 	now := bootclock.Now()
-	a.recordEnd(err, now)
+	err = a.checkEnd(response, err, now)
 	if err != nil {
 		a.err = err
 		if a.isQuarantined.Load() {
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
@@ -22,17 +22,22 @@
 
 // The kinds of ends.
 const (
-	// endOrderly is the end that the framing marks.
-	endOrderly = "orderly"
+	// endOrderly is the end that the framing marks, endAtDeadline one that may be due to the
+	// deadline.
+	endOrderly    = "orderly"
+	endAtDeadline = "at the deadline"
 	// endBroken is any other one; the error of the attempt tells which.
 	endBroken = "broken"
 )
 
-// recordEnd records how the body of the response has ended at now: err is nil or io.EOF at
-// an orderly end.
+// recordEnd records how the body of the response has ended at now; err is nil if it is
+// complete.
 func (a *attempt) recordEnd(err error, now time.Duration) {
 	a.end = bodyEnd{kind: endOrderly, at: now}
-	if err != nil && err != io.EOF {
+	switch {
+	case errors.Is(err, errEndAtDeadline):
+		a.end.kind = endAtDeadline
+	case err != nil:
 		a.end.kind = endBroken
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`bilberry_gateway_response_ends_total{framing=%q,end=%q}`, a.framing, a.end.kind)).Inc()
--- /dev/null
+++ b/internal/gateway/responseend_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"bilberryhub/internal/exchange"
+)
+
+// endAfter returns a backend server that sends one event and ends its response in an orderly
+// way when a share of the time has passed that it was given.
+func endAfter(share float64, framing exchange.Framing) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		allowed, _ := strconv.Atoi(r.Header.Get("X-Allowed-Ms"))
+		end := time.Now().Add(time.Duration(share * float64(allowed) * float64(time.Millisecond)))
+		const event = "id: 1\ndata: a\n\n"
+		echo(w, r)
+		switch framing {
+		case exchange.FramedByConnection:
+			w.Header().Set("Transfer-Encoding", "identity")
+		case exchange.FramedByLength:
+			w.Header().Set("Content-Length", strconv.Itoa(len(event)))
+		}
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(time.Until(end))
+		_, _ = io.WriteString(w, event)
+	}
+}
+
+// Guards against a response that looks complete although its backend server may have stopped
+// work at the deadline, and against one that is dropped although it ended before.
+func TestResponseThatEndsAtTheDeadlineIsIncomplete(t *testing.T) {
+	for _, framing := range []exchange.Framing{exchange.FramedByChunks, exchange.FramedByConnection, exchange.FramedByLength} {
+		for _, path := range []string{"/stream/x", "/rigid/x", "/once/x", "/safe/x"} {
+			for share, wantComplete := range map[float64]bool{0.5: true, 1: false} {
+				t.Run(string(framing)+path+" "+strconv.FormatFloat(share, 'g', -1, 64), func(t *testing.T) {
+					t.Parallel()
+					s := newSetup(t)
+					s.add("server-1", serviceOf(path), "a", endAfter(share, framing))
+					for range 5 {
+						resp, body, err := s.call(path, "X-Wait-Ms", "400")
+						isComplete := err == nil && resp.StatusCode == http.StatusOK
+						if isComplete != wantComplete {
+							t.Errorf("complete %v with %q, error %v; expected %v", isComplete, body, err, wantComplete)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a backend server that may stop work before the attempt has ended, so that its
+// own end and that of the attempt can't be told apart.
+func TestAllowedTimeEndsAfterTheAttempt(t *testing.T) {
+	for _, left := range []time.Duration{time.Nanosecond, time.Millisecond, 20 * time.Millisecond, 899_999_999, 900_000_001, time.Hour} {
+		if got := allowedTime(left); got < left || got >= left+time.Millisecond || got%time.Millisecond != 0 {
+			t.Errorf("%s left gives %s", left, got)
+		}
+	}
+	if stopTolerance >= responseMargin {
+		t.Errorf("the tolerance of %s isn't less than the margin of %s", stopTolerance, responseMargin)
+	}
+}
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -38,7 +38,10 @@
 }
 
 func (testDialect) EncodeDispatch(_ *http.Request, c CallerRequest, d Dispatch) http.Header {
-	h := http.Header{"X-Id": {c.ID}, "X-Server": {d.BackendServer}, "X-Account": {d.Account}}
+	h := http.Header{
+		"X-Id": {c.ID}, "X-Server": {d.BackendServer}, "X-Account": {d.Account},
+		"X-Allowed-Ms": {strconv.FormatInt(d.WaitFor.Milliseconds(), 10)},
+	}
 	if d.LastEvent != "" {
 		h.Set("Last-Event-Id", d.LastEvent)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -206,8 +206,7 @@
 // the outcome.
 func (a *attempt) handleStreamEnd(response *exchange.Response, err error, seen int, stall *watchdog) attemptResult {
 	now := bootclock.Now()
-	a.recordEnd(err, now)
-	if err == io.EOF && response.Complete() {
+	if err = a.checkEnd(response, err, now); err == nil {
 		a.begin(response)
 		a.g.health.record(a.pick.job.backend, outcomeServed, now)
 		a.r.outcome = "served"
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -71,7 +71,7 @@
 
 // serviceOf returns the service of a route of testVersion.
 func serviceOf(path string) string {
-	if strings.HasPrefix(path, "/once") {
+	if strings.HasPrefix(path, "/once") || strings.HasPrefix(path, "/safe") {
 		return "plain"
 	}
 	return "model"
