gateway: a response that ends with the process of its backend server isn't whole

Callers got streams as complete before their last event, and bodies cut short, when the process of a backend server was killed in the middle of a response without a length and without chunks: the kernel closes the connections of a killed process in an orderly way (FIN) if it has read all that was sent to it, and an orderly end marks the end of such a response. The same class as the end at the deadline: the end of a body taken for the statement that it is whole.

Such an end now counts as broken if the VM of the backend server refuses connections 5 ms later and nothing was announced, as for an attempt that breaks off before its response. The kernel closes the listener of a process after some of its connections, hence the 5 ms. A backend server that says that it leaves is not checked.

Weighed: to count every response without a length as broken (sound ones are lost), and to accept the fault as one of the protocol (a caller acts on half of an answer). What remains: a process that is killed and replaced within 5 ms at the same address, and a gateway that knows no other backend server.

--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -22,10 +22,11 @@
 
 // The kinds of ends.
 const (
-	// endOrderly is the end that the framing marks, endAtDeadline one that may be due to the
-	// deadline.
+	// endOrderly is the end that the framing marks. endAtDeadline and endOfProcess look like it
+	// and may be due to the deadline, or are due to the end of the backend server's process.
 	endOrderly    = "orderly"
 	endAtDeadline = "at the deadline"
+	endOfProcess  = "end of the process"
 	// endBroken is any other one; the error of the attempt tells which.
 	endBroken = "broken"
 )
@@ -37,6 +38,8 @@
 	switch {
 	case errors.Is(err, errEndAtDeadline):
 		a.end.kind = endAtDeadline
+	case errors.Is(err, errProcessEnded):
+		a.end.kind = endOfProcess
 	case err != nil:
 		a.end.kind = endBroken
 	}
--- a/internal/gateway/responseend.go
+++ b/internal/gateway/responseend.go
@@ -34,6 +34,21 @@
 	return framing != exchange.FramedByLength && now >= a.sent+a.allowed-stopTolerance
 }
 
+// errProcessEnded means that the body of a response has ended with its connection because the
+// process of the backend server has ended.
+var errProcessEnded = errors.New("the response ended with the process of the backend server")
+
+// processExitTime is how long after the connections of a process that was killed its listener
+// may still be open: the kernel closes them one after the other.
+const processExitTime = 5 * time.Millisecond
+
+// processEnded reports whether the process of the backend server has ended without an
+// announcement. The kernel closes its connections like an orderly end then.
+func (a *attempt) processEnded() bool {
+	time.Sleep(processExitTime)
+	return a.backendCrashed()
+}
+
 // checkEnd returns nil if the body of a response is complete, and otherwise why it isn't. err
 // is that of reading it: nil or io.EOF at an orderly end. It records the end.
 func (a *attempt) checkEnd(response *exchange.Response, err error, now time.Duration) error {
@@ -46,6 +61,8 @@
 		err = io.ErrUnexpectedEOF
 	case a.mayEndAtDeadline(response.Framing(), now):
 		err = errEndAtDeadline
+	case response.Framing() == exchange.FramedByConnection && a.processEnded():
+		err = errProcessEnded
 	}
 	a.recordEnd(err, now)
 	return err
--- a/internal/gateway/responseend_test.go
+++ b/internal/gateway/responseend_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -70,3 +73,49 @@
 		t.Errorf("the tolerance of %s isn't less than the margin of %s", stopTolerance, responseMargin)
 	}
 }
+
+// serveOnce announces a backend server whose process ends in the middle of its first response,
+// which closes the connection and the listener. It returns its address.
+func (s *setup) serveOnce(id, service string) string {
+	s.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = fmt.Fprintf(c, unframedHead+"id: 1\ndata: a\n\n", r.Header.Get("X-Id"))
+		}
+		_ = c.Close()
+		_ = l.Close()
+	}()
+	s.announce(id, service, "a", l.Addr().String())
+	return l.Addr().String()
+}
+
+// Guards against a response without a length and without chunks that looks complete although
+// the process of its backend server was killed, directly and through another gateway.
+func TestResponseOfAKilledBackendServerIsIncomplete(t *testing.T) {
+	for _, path := range []string{"/rigid/x", "/once/x"} {
+		t.Run("direct"+path, func(t *testing.T) {
+			s := newSetup(t)
+			// A gateway that knows one backend server only can't tell its end from the loss of
+			// its own path.
+			s.add("server-2", "other", "a", echo)
+			s.add("server-3", "other", "b", echo)
+			s.serveOnce("server-1", serviceOf(path))
+			s.checkUnframed(path, "", false)
+		})
+		t.Run("through another gateway"+path, func(t *testing.T) {
+			s := newIsolatedSetup(t)
+			address := s.serveOnce("server-1", serviceOf(path))
+			s.others[0].announce("server-1", serviceOf(path), "a", address)
+			s.checkUnframed(path, "", false)
+		})
+	}
+}
