gateway: events that the caller has are not repeated

The ids of a stream increase. A backend server that continues a stream and ignores Last-Event-Id, or begins at an earlier event, made its caller get events twice (ORDER): the gateway forwarded whatever came. Now an event whose id is a number that isn't higher than the last one that the caller has is dropped and counted, and the first one of an attempt is logged.

Before: TestEventsThatTheCallerHasAreNotRepeated fails in 2 of 2 cases (events 1 and 2 come twice). After: passes.

--- a/internal/gateway/event_test.go
+++ b/internal/gateway/event_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -81,3 +82,43 @@
 		t.Errorf("got %q after %s", body, took)
 	}
 }
+
+// Guards against events that a caller gets twice, from a backend server that begins a
+// continued stream anew, for a request of a caller that continues as well.
+func TestEventsThatTheCallerHasAreNotRepeated(t *testing.T) {
+	for last, want := range map[string]string{
+		"":  "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n",
+		"1": "id: 2\ndata: b\n\nid: 3\ndata: c\n\n",
+	} {
+		s := newSetup(t)
+		var isSecond atomic.Bool
+		serve := func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+			_ = http.NewResponseController(w).Flush()
+			if !isSecond.Swap(true) {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "id: 3\ndata: c\n\n")
+		}
+		s.add("server-1", "model", "a", serve)
+		s.add("server-2", "model", "a", serve)
+		if _, body, err := s.call("/stream/x", "X-Prompt", "100", "Last-Event-Id", last); err != nil || body != want {
+			t.Errorf("after event %q: got %q, %v; expected %q", last, body, err, want)
+		}
+	}
+}
+
+func TestIsRepeated(t *testing.T) {
+	for _, tc := range []struct {
+		id, last string
+		want     bool
+	}{
+		{"1", "", false}, {"2", "1", false}, {"10", "9", false}, {"5", "1", false}, {"1", "1", true}, {"9", "10", true},
+		{"a", "1", false}, {"1", "a", false}, {"18446744073709551616", "1", false},
+	} {
+		if got := isRepeated(tc.id, tc.last); got != tc.want {
+			t.Errorf("event %q after %q: %v", tc.id, tc.last, got)
+		}
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/exchange"
@@ -35,6 +37,7 @@
 
 var (
 	firstEventSeconds = metrics.GetOrCreateHistogram(`bilberry_gateway_first_event_seconds`)
+	repeatedEvents    = metrics.GetOrCreateCounter(`bilberry_gateway_events_repeated_total`)
 	resumed           = metrics.GetOrCreateCounter(`bilberry_gateway_streams_resumed_total`)
 )
 
@@ -148,6 +151,10 @@
 		}
 		last = now
 		if id, ok := eventID(event); ok {
+			if isRepeated(id, a.r.caller.LastEvent) {
+				a.recordRepeated(id)
+				continue
+			}
 			a.r.caller.LastEvent = id
 		}
 		if err := a.forwardEvent(response, event); err != nil {
@@ -157,6 +164,27 @@
 	}
 }
 
+// isRepeated reports whether an event with an id follows out of order after the event with the
+// id last: ids increase. Ids that are no numbers tell nothing.
+func isRepeated(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	m, err := strconv.ParseUint(last, 10, 64)
+	return err == nil && n <= m
+}
+
+// recordRepeated records an event that isn't forwarded, as the caller has it. The first one of
+// an attempt is logged.
+func (a *attempt) recordRepeated(id string) {
+	repeatedEvents.Inc()
+	if a.repeated++; a.repeated == 1 {
+		a.g.log.Warn("backend server repeats events", zap.String("request_id", a.r.caller.ID), zap.String("backend_server", a.pick.backend.ID),
+			zap.String("event", id), zap.String("last_event", a.r.caller.LastEvent))
+	}
+}
+
 // firstEvent records the first event of an attempt, received at now.
 func (a *attempt) firstEvent(now time.Duration) {
 	a.g.workTable.markDecoding(a.pick.job, a.pick.helperJobs, now)
