gateway: a stream that arrives is not moved when the path seems lost

Callers lost streams that their backend server was sending (LOST). When connections to two backend servers of two failure domains fail, a gateway takes its path for lost and ends the attempts that have received nothing since the first failure began. Two servers that were killed refuse connections within milliseconds; a stream whose events are 60 ms apart has received nothing in that time, so it was cut, and ended for its caller if no other server could go on.

Now an attempt that has received something counts as silent after reach.SuspectAfter, the silence that also makes a failure domain suspect. As the path may have been lost just before, attempts that fall silent later in the isolation are moved then. Attempts that have received nothing are moved at once, as before.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -151,14 +151,18 @@
 
 // moveSilentAttempts ends the attempts on own connections that received nothing since a
 // time, so that they continue elsewhere while their callers still wait. Connections that
-// live on are left alone. It returns the number of attempts ended.
+// live on are left alone: an attempt that has received something is silent only after
+// reach.SuspectAfter, since connections may fail within less time than passes between two
+// events. It returns the number of attempts ended.
 func (g *Gateway) moveSilentAttempts(since time.Duration) int {
 	now := bootclock.Now()
 	g.reachability.mu.Lock()
 	defer g.reachability.mu.Unlock()
 	moved := 0
 	for a, w := range g.reachability.attempts {
-		if a.isDirect.Load() && time.Duration(a.receivedAt.Load()) < since && a.canFailOver(now) {
+		received := time.Duration(a.receivedAt.Load())
+		isSilent := received == 0 || received < min(since, now-reach.SuspectAfter)
+		if a.isDirect.Load() && isSilent && !w.fired() && a.canFailOver(now) {
 			w.fire()
 			moved++
 		}
@@ -166,6 +170,19 @@
 	return moved
 }
 
+// moveLaterSilent moves the attempts that have fallen silent in an isolation.
+func (g *Gateway) moveLaterSilent() {
+	g.isolation.mu.Lock()
+	isIsolated, since := g.isolation.state.IsIsolated(), g.isolation.state.Since()
+	g.isolation.mu.Unlock()
+	if !isIsolated {
+		return
+	}
+	if moved := g.moveSilentAttempts(since); moved > 0 {
+		g.log.Info("attempts have fallen silent while other gateways connect", zap.Int("attempts_moved", moved))
+	}
+}
+
 // waitingSince returns when the first of the attempts began that use an own connection,
 // or 0 if there is none.
 func (r *reachability) waitingSince() time.Duration {
@@ -184,6 +201,7 @@
 // until ctx ends.
 func (g *Gateway) probeInDoubt(ctx context.Context) {
 	for g.isolation.wait(ctx, g.doubtCheckInterval()) {
+		g.moveLaterSilent()
 		if !g.isolation.takeProbe(g.reachability.waitingSince(), bootclock.Now()) {
 			continue
 		}
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
+	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/peerconn"
 	"bilberryhub/internal/reach"
 	"bilberryhub/internal/wire"
@@ -463,3 +464,63 @@
 	s.path.set(pathWorks)
 	<-ended
 }
+
+// Guards against a stream that arrives and is cut because connections to other backend
+// servers, which have ended, are refused within milliseconds of each other.
+func TestStreamThatArrivesStaysWhenThePathSeemsLost(t *testing.T) {
+	const count, gap = 30, 40 * time.Millisecond
+	s := newIsolationSetup(t, 1)
+	var runs atomic.Int32
+	begun := make(chan struct{}, count)
+	s.add("live", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		echo(w, r)
+		for n := 1; n <= count; n++ {
+			sendEvents(w, n, n)
+			begun <- struct{}{}
+			time.Sleep(gap)
+		}
+	})
+	var ended []*fleet.BackendServer
+	for _, domain := range []string{"b", "c"} {
+		ended = append(ended, s.announce("ended-"+domain, "plain", domain, "127.0.0.1:9"))
+	}
+	go func() {
+		for range 5 {
+			<-begun
+		}
+		time.Sleep(gap / 2)
+		for _, b := range ended {
+			s.g.recordDial(b, bootclock.Now(), syscall.ECONNREFUSED)
+		}
+	}()
+	_, body, err := s.call("/stream/x", "X-Prompt", "100")
+	if err != nil || body != events(1, count) || runs.Load() != 1 {
+		t.Fatalf("%d runs, error %v, stream %q", runs.Load(), err, body)
+	}
+}
+
+// Guards against a stream that stays on a path that was lost after it has begun.
+func TestStreamThatFallsSilentLeavesTheLostPath(t *testing.T) {
+	s := newIsolationSetup(t, 1)
+	var runs atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			echo(w, r)
+			sendEvents(w, 1, 3)
+			time.Sleep(100 * time.Millisecond)
+			s.path.set(pathVanishes)
+			<-r.Context().Done()
+			return
+		}
+		streamOf(s.setup, 1, 6)(w, r)
+	}
+	for i := range 3 {
+		b := s.add(fmt.Sprintf("s%d", i), "model", "a", handler)
+		s.others[0].announce(b.ID, "model", b.FailureDomain, b.Address)
+	}
+	_, body, err := s.call("/stream/x", "X-Prompt", "100")
+	if err != nil || body != events(1, 6) {
+		t.Fatalf("stream %q, error %v", body, err)
+	}
+}
