gateway: a silent stream is not cut when nobody can continue it

Callers lost streams of sound backend servers that were silent for 1.3 s (LOST). A silent stream is canceled so that another backend server continues it, but whether there is one was only judged by attempts left and the retry budget. With the others evacuated, leaving or dead, the stream ended: "broken off: the outcome is unknown, and no backend server is in service".

Now an attempt whose response has begun is canceled only if a backend server that wasn't tried is in service, not leaving, and not dead; otherwise this is asked again every half second. The same holds where a failure domain or the own path seems lost, as these ask canFailOver too. Attempts without a response move as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -61,7 +62,11 @@
 	pick *pick
 	// number counts the attempts of the request, from 1.
 	number int
-	sent   time.Duration
+	// triedBefore holds the ids of the backend servers of earlier attempts.
+	// isContinuation is set if the caller already has a part of the response.
+	triedBefore    []string
+	isContinuation bool
+	sent           time.Duration
 	// buffered is a complete response that reports a failure.
 	buffered *bufferedResponse
 	err      error
@@ -115,7 +120,7 @@
 			}
 			return g.noBackendError(r, err, ran)
 		}
-		a := &attempt{g: g, r: r, pick: p, number: r.attempts + 1}
+		a := &attempt{g: g, r: r, pick: p, number: r.attempts + 1, triedBefore: slices.Clone(r.tried), isContinuation: r.status != 0}
 		result := a.run(ctx)
 		g.workTable.remove(append(p.helperJobs, p.job)...)
 		g.logAttempt(a, result)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -430,3 +430,27 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut because its backend server is silent for a while,
+// though the others have been taken out of service or leave, so that none can continue it.
+func TestSilentStreamIsKeptWhileNoOtherServerIsInService(t *testing.T) {
+	s := newSetup(t)
+	silent := make(chan struct{})
+	s.add("s1", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		sendEvents(w, 1, 2)
+		close(silent)
+		time.Sleep(1800 * time.Millisecond)
+		sendEvents(w, 3, 4)
+	})
+	go func() {
+		<-silent
+		leaving := s.add("s2", "model", "a", echo)
+		s.g.notices.mu.Lock()
+		defer s.g.notices.mu.Unlock()
+		s.g.notices.table.RecordLeaving(leaving.Key())
+	}()
+	if _, body, err := s.call("/stream/x", "X-Prompt", "100"); err != nil || body != events(1, 4) {
+		t.Fatalf("stream %q, error %v", body, err)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/exchange"
+	"bilberryhub/internal/fleet"
 )
 
 const (
@@ -86,9 +88,9 @@
 func (a *attempt) extendWait() time.Duration {
 	now := bootclock.Now()
 	switch {
-	case !a.canFailOver(now):
+	case !a.mayRetry(now):
 		return time.Hour
-	case now-a.g.health.lastReceived(a.pick.job.backend) < aliveWindow:
+	case !a.canBeContinued(now), now-a.g.health.lastReceived(a.pick.job.backend) < aliveWindow:
 		return aliveWindow / 2
 	}
 	return 0
@@ -97,9 +99,35 @@
 // canFailOver reports whether another backend server may continue the request. Other
 // goroutines call it too.
 func (a *attempt) canFailOver(now time.Duration) bool {
+	return a.mayRetry(now) && a.canBeContinued(now)
+}
+
+// mayRetry reports whether the request may be sent to another backend server.
+func (a *attempt) mayRetry(now time.Duration) bool {
 	return a.g.canRetry(a.r, a.number+1, true) && a.g.budget.allows(a.r.service.Name, a.g.members.count(), now)
 }
 
+// canBeContinued reports whether the caller loses nothing if the attempt is canceled: a
+// response that has begun is lost unless another backend server can continue it.
+func (a *attempt) canBeContinued(now time.Duration) bool {
+	return !a.isContinuation && !a.firstEventSeen.Load() || a.hasAlternative(now)
+}
+
+// hasAlternative reports whether a backend server that wasn't tried is in service.
+func (a *attempt) hasAlternative(now time.Duration) bool {
+	servers, _ := a.g.members.backends()
+	v := a.g.sync.Current()
+	return slices.ContainsFunc(servers, func(b *fleet.BackendServer) bool {
+		if b.Service != a.r.service.Name || !b.Usable() || b.ID == a.pick.backend.ID || slices.Contains(a.triedBefore, b.ID) {
+			return false
+		}
+		if out, _ := v.Excluded(b.FailureDomain, b.ID); out {
+			return false
+		}
+		return a.g.noticeError(b.Key()) == nil && !a.g.health.condition(b, b.Key(), now, time.Hour).dead
+	})
+}
+
 // firstEventLimit returns how long to wait for the first event; 0 means until
 // the connection breaks or the deadline passes.
 func (a *attempt) firstEventLimit() time.Duration {
