gateway: reserved memory stays reserved while its holder is silent for a second

An attempt renewed its reservations one after the other, each call with a timeout of 400 ms, and waited a third of the lease after the round, whatever had failed: with three holders the next call to the first one came 3.2 s after the last that had worked, and the lease is 3 s.

Now each reservation is renewed by itself, and a call that fails is made again after 50 ms while the reservation may be in force. The gateway keeps the time until which the holder keeps the memory at least: the lease counts from the arrival of a call, which is sent before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -288,7 +288,9 @@
 			return notRun
 		}
 		defer g.release(r.caller.ID, a.pick.reservations)
-		go a.renew(ctx)
+		for _, res := range a.pick.reservations {
+			go a.renew(ctx, res)
+		}
 	}
 	// The choice may be older than a notice, as reservations take time.
 	if a.err = g.noticeError(a.pick.job.backend); a.err != nil {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -81,7 +81,7 @@
 	backend *fleet.BackendServer
 	helpers []*fleet.BackendServer
 	// reservations are the memory reservations at the first helpers.
-	reservations []reservation
+	reservations []*reservation
 	// predictedMs is the predicted time to the first event; 0 for plain
 	// services.
 	predictedMs float64
@@ -287,7 +287,7 @@
 		work.HeldTokens = 0
 		if n < choice.Holders {
 			work.HeldTokens = choice.HeldTokens
-			p.reservations = append(p.reservations, reservation{
+			p.reservations = append(p.reservations, &reservation{
 				id: fmt.Sprintf("%016x-%d", rand.Uint64(), n), holder: list[i].server, tokens: int64(choice.HeldTokens),
 			})
 		}
--- a/internal/gateway/event_test.go
+++ b/internal/gateway/event_test.go
@@ -114,8 +114,15 @@
 		id, last string
 		want     bool
 	}{
-		{"1", "", false}, {"2", "1", false}, {"10", "9", false}, {"5", "1", false}, {"1", "1", true}, {"9", "10", true},
-		{"a", "1", false}, {"1", "a", false}, {"18446744073709551616", "1", false},
+		{"1", "", false},
+		{"2", "1", false},
+		{"10", "9", false},
+		{"5", "1", false},
+		{"1", "1", true},
+		{"9", "10", true},
+		{"a", "1", false},
+		{"1", "a", false},
+		{"18446744073709551616", "1", false},
 	} {
 		if got := isRepeated(tc.id, tc.last); got != tc.want {
 			t.Errorf("event %q after %q: %v", tc.id, tc.last, got)
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/exchange"
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/observe"
@@ -22,8 +24,10 @@
 	leaseShare = 0.75
 	// defaultFreeMs is assumed if the settings state no such time.
 	defaultFreeMs = 4_000
-	// renewalsPerLease is how often a lease is renewed within its length.
-	renewalsPerLease = 3
+	// renewalsPerLease is how often a lease is renewed within its length, and
+	// renewRetryInterval the time after which a renewal that failed is tried again.
+	renewalsPerLease   = 3
+	renewRetryInterval = 50 * time.Millisecond
 	// reserveTimeout limits one call; releaseAttempts is the maximum number of
 	// calls to release a reservation.
 	reserveTimeout  = 400 * time.Millisecond
@@ -42,6 +46,11 @@
 	id     string
 	holder *fleet.BackendServer
 	tokens int64
+	// heldUntil is the time in ns until which the holder keeps the memory at least: it counts
+	// the lease from the arrival of the last call, which was sent before.
+	heldUntil atomic.Int64
+	// isFailing is set while the last call to renew it has failed.
+	isFailing atomic.Bool
 }
 
 // leaseTime returns how long a reservation lasts without renewal.
@@ -67,27 +76,48 @@
 	return nil
 }
 
-// renew renews the reservations until ctx ends.
-func (a *attempt) renew(ctx context.Context) {
-	for sleep(ctx, a.g.leaseTime()/renewalsPerLease) {
-		for _, res := range a.pick.reservations {
-			if err := a.g.reserveOne(ctx, res); err != nil && ctx.Err() == nil {
-				a.g.log.Warn("renew reservation failed", zap.String("request_id", a.r.caller.ID),
-					zap.String("backend_server", res.holder.ID), observe.Error(err))
-			}
+// renew renews a reservation until ctx ends. A call that fails is made again soon while the
+// reservation may be in force: the holder may be silent for a second or so.
+func (a *attempt) renew(ctx context.Context, res *reservation) {
+	interval := a.g.leaseTime() / renewalsPerLease
+	for wait := interval; sleep(ctx, wait); {
+		wait = interval
+		err := a.g.reserveOne(ctx, res)
+		if ctx.Err() != nil {
+			return
+		}
+		res.isFailing.Store(err != nil)
+		if err == nil {
+			continue
 		}
+		isHeld := !res.mayHaveExpired(bootclock.Now())
+		if isHeld {
+			wait = renewRetryInterval
+		}
+		a.g.log.Warn("renew reservation failed", zap.String("request_id", a.r.caller.ID),
+			zap.String("backend_server", res.holder.ID), zap.Bool("held", isHeld), observe.Error(err))
 	}
 }
 
+// mayHaveExpired reports whether the holder may have freed the memory.
+func (res *reservation) mayHaveExpired(now time.Duration) bool {
+	return now >= time.Duration(res.heldUntil.Load())-stopTolerance
+}
+
 // reserveOne makes or renews one reservation.
-func (g *Gateway) reserveOne(ctx context.Context, res reservation) error {
-	target, body := g.dialect.ReserveCall(res.id, res.tokens, g.leaseTime())
-	return g.callHolder(ctx, res, target, body)
+func (g *Gateway) reserveOne(ctx context.Context, res *reservation) error {
+	lease, sent := g.leaseTime(), bootclock.Now()
+	target, body := g.dialect.ReserveCall(res.id, res.tokens, lease)
+	if err := g.callHolder(ctx, res, target, body); err != nil {
+		return errors.Trace(err)
+	}
+	res.heldUntil.Store(int64(sent + lease))
+	return nil
 }
 
 // release releases reservations in the background: the caller's response doesn't
 // wait for it. Those that can't be released expire.
-func (g *Gateway) release(requestID string, reservations []reservation) {
+func (g *Gateway) release(requestID string, reservations []*reservation) {
 	for _, res := range reservations {
 		g.wg.Go(func() {
 			var err error
@@ -105,7 +135,7 @@
 
 // callHolder makes one call to the holder of a reservation. It succeeds if the
 // call was carried out.
-func (g *Gateway) callHolder(ctx context.Context, res reservation, target string, body []byte) error {
+func (g *Gateway) callHolder(ctx context.Context, res *reservation, target string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	response, _, err := g.send(ctx, res.holder, true, exchange.Request{
