gateway: a response that ends when reserved memory may be lost isn't whole

Callers could get a stream as complete before its last event when memory that is reserved for it at other backend servers was gone: its backend server then cuts it off, and may do so in an orderly way. Only the deadline and the end of its own process were asked for. The same class as the two ends before.

An orderly end of a body without a length now counts as broken if a reservation of the attempt may have expired, if the last call to renew one has failed, or if a holder refuses connections.

Before: TestStreamCutWhenAHolderEndsIsIncomplete fails in 3 of 3 runs (complete after 8 to 10 of 30 events); three of five cases of TestEndWithoutReservedMemoryIsNoEnd have no code to ask. After: all pass.

Assumed, not shown: that a backend server ends such a response in an orderly way.

--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -22,10 +22,11 @@
 
 // The kinds of ends.
 const (
-	// endOrderly is the end that the framing marks. endAtDeadline and endOfProcess look like it
-	// and may be due to the deadline, or are due to the end of the backend server's process.
+	// endOrderly is the end that the framing marks. The next ones look like it and don't count;
+	// see endError.
 	endOrderly    = "orderly"
 	endAtDeadline = "at the deadline"
+	endMemoryLost = "memory lost"
 	endOfProcess  = "end of the process"
 	// endBroken is any other one; the error of the attempt tells which.
 	endBroken = "broken"
@@ -38,6 +39,8 @@
 	switch {
 	case errors.Is(err, errEndAtDeadline):
 		a.end.kind = endAtDeadline
+	case errors.Is(err, errMemoryLost):
+		a.end.kind = endMemoryLost
 	case errors.Is(err, errProcessEnded):
 		a.end.kind = endOfProcess
 	case err != nil:
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -23,7 +23,7 @@
 // the backend server, which the request may have caused, from a broken connection.
 func (a *attempt) handleBroken() {
 	brokenAttempts.Inc()
-	isCrash := a.backendCrashed()
+	isCrash := a.g.hasCrashed(a.pick.backend)
 	now := bootclock.Now()
 	o := outcomeFailed
 	if isCrash {
@@ -38,12 +38,3 @@
 		a.g.recordCrash(a.pick.job.backend, a.r.features, now)
 	}
 }
-
-// backendCrashed reports whether the process of the backend server has ended without an
-// announcement: its VM refuses connections.
-func (a *attempt) backendCrashed() bool {
-	if b := a.g.members.backend(a.pick.backend.ID); b == nil || b.Key() != a.pick.job.backend || !b.Usable() {
-		return false
-	}
-	return a.g.refusesConnections(a.g.ctx, a.pick.backend)
-}
--- a/internal/gateway/responseend.go
+++ b/internal/gateway/responseend.go
@@ -2,68 +2,96 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
 	"bilberryhub/internal/exchange"
+	"bilberryhub/internal/fleet"
 )
 
-// An attempt ends by itself responseMargin before the deadline of its request, and a backend
-// server stops work at that deadline, so that an end that was read in time can't be due to
-// the deadline.
+// Framing marks where the body of a response ends; it doesn't say that the body is whole. A
+// backend server may end a response in an orderly way because it has to stop work, and the
+// kernel ends the connections of a process that was killed like that.
 
-// stopTolerance is by how much earlier than stated a backend server may stop work, which may
-// round times to milliseconds. It must be less than responseMargin.
+// stopTolerance is by how much earlier than stated a backend server may stop work or free
+// memory, as it may round times to milliseconds. It must be less than responseMargin.
 const stopTolerance = 5 * time.Millisecond
 
-// errEndAtDeadline means that the body of a response has ended when the backend server had
-// to stop work. It may have ended the response in an orderly way without being done.
-var errEndAtDeadline = errors.New("the response ended when its time was over")
-
-// allowedTime returns the time that a backend server is given if left is the time until the
-// deadline of a request: as long in whole milliseconds, rounded up.
-func allowedTime(left time.Duration) time.Duration {
-	return (left + time.Millisecond - 1).Truncate(time.Millisecond)
-}
-
-// mayEndAtDeadline reports whether a body whose end was read at now may have ended because the
-// backend server has stopped work. A body that is as long as its head says is complete at
-// any time.
-func (a *attempt) mayEndAtDeadline(framing exchange.Framing, now time.Duration) bool {
-	return framing != exchange.FramedByLength && now >= a.sent+a.allowed-stopTolerance
-}
-
-// errProcessEnded means that the body of a response has ended with its connection because the
-// process of the backend server has ended.
-var errProcessEnded = errors.New("the response ended with the process of the backend server")
-
 // processExitTime is how long after the connections of a process that was killed its listener
 // may still be open: the kernel closes them one after the other.
 const processExitTime = 5 * time.Millisecond
 
-// processEnded reports whether the process of the backend server has ended without an
-// announcement. The kernel closes its connections like an orderly end then.
-func (a *attempt) processEnded() bool {
-	time.Sleep(processExitTime)
-	return a.backendCrashed()
+// Ends that look orderly and don't count.
+var (
+	// errEndAtDeadline: the backend server had to stop work, and may not have been done.
+	errEndAtDeadline = errors.New("the response ended when its time was over")
+	// errMemoryLost: memory that was reserved for the request may be gone. The backend server
+	// cuts the request off then.
+	errMemoryLost = errors.New("the response ended when reserved memory may have been lost")
+	// errProcessEnded: the process of the backend server has ended.
+	errProcessEnded = errors.New("the response ended with the process of the backend server")
+)
+
+// allowedTime returns the time that a backend server is given if left is the time until the
+// deadline of a request: as long in whole milliseconds, rounded up. An attempt ends by itself
+// responseMargin before that deadline, so that an end that was read in time can't be due to it.
+func allowedTime(left time.Duration) time.Duration {
+	return (left + time.Millisecond - 1).Truncate(time.Millisecond)
 }
 
 // checkEnd returns nil if the body of a response is complete, and otherwise why it isn't. err
 // is that of reading it: nil or io.EOF at an orderly end. It records the end.
 func (a *attempt) checkEnd(response *exchange.Response, err error, now time.Duration) error {
-	if err == io.EOF {
-		err = nil
-	}
 	switch {
-	case err != nil:
+	case err != nil && err != io.EOF:
 	case !response.Complete():
 		err = io.ErrUnexpectedEOF
-	case a.mayEndAtDeadline(response.Framing(), now):
-		err = errEndAtDeadline
-	case response.Framing() == exchange.FramedByConnection && a.processEnded():
-		err = errProcessEnded
+	default:
+		err = a.endError(response.Framing(), now)
 	}
 	a.recordEnd(err, now)
 	return err
 }
+
+// endError returns why a body with an orderly end, read at now, may not be whole, or nil. A
+// body that is as long as its head says is whole.
+func (a *attempt) endError(framing exchange.Framing, now time.Duration) error {
+	switch {
+	case framing == exchange.FramedByLength:
+		return nil
+	case now >= a.sent+a.allowed-stopTolerance:
+		return errEndAtDeadline
+	case a.mayLackMemory(now):
+		return errMemoryLost
+	case framing == exchange.FramedByConnection && a.processEnded():
+		return errProcessEnded
+	}
+	return nil
+}
+
+// mayLackMemory reports whether memory that is reserved for the request may be gone: its lease
+// may be over, its holder doesn't respond, or has ended.
+func (a *attempt) mayLackMemory(now time.Duration) bool {
+	return slices.ContainsFunc(a.pick.reservations, func(res *reservation) bool {
+		return res.mayHaveExpired(now) || res.isFailing.Load() || a.g.hasCrashed(res.holder)
+	})
+}
+
+// processEnded reports whether the process of the backend server has ended in the middle of
+// the response, without an announcement.
+func (a *attempt) processEnded() bool {
+	time.Sleep(processExitTime)
+	return a.g.hasCrashed(a.pick.backend)
+}
+
+// hasCrashed reports whether the process of a backend server has ended without an
+// announcement: its VM refuses connections.
+func (g *Gateway) hasCrashed(b *fleet.BackendServer) bool {
+	known := g.members.backend(b.ID)
+	if known == nil || known.Key() != b.Key() || !known.Usable() {
+		return false
+	}
+	return g.refusesConnections(g.ctx, b)
+}
--- a/internal/gateway/responseend_test.go
+++ b/internal/gateway/responseend_test.go
@@ -6,10 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/exchange"
 )
 
@@ -119,3 +123,95 @@
 		})
 	}
 }
+
+// Guards against a stream that looks complete although its backend server has cut it off, as
+// another one that holds memory for it has ended.
+func TestStreamCutWhenAHolderEndsIsIncomplete(t *testing.T) {
+	const events = 30
+	s := newSetup(t)
+	var mu sync.Mutex
+	first := -1
+	var isHolder [3]bool
+	var servers [3]*httptest.Server
+	holderEnded := make(chan struct{})
+	for i := range servers {
+		servers[i] = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			if r.Header.Get("X-Id") == "" {
+				isHolder[i] = isHolder[i] || strings.HasPrefix(r.URL.Path, "/reserve/")
+				mu.Unlock()
+				return
+			}
+			isFirst := first < 0
+			if isFirst {
+				first = i
+			}
+			mu.Unlock()
+			echo(w, r)
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			for id := last + 1; id <= events; id++ {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: a\n\n", id)
+				_ = http.NewResponseController(w).Flush()
+				select {
+				case <-holderEnded:
+					if isFirst {
+						return
+					}
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+		}))
+		defer servers[i].Close()
+		s.announce("server-"+strconv.Itoa(i), "model", "a", strings.TrimPrefix(servers[i].URL, "http://"))
+	}
+	time.AfterFunc(500*time.Millisecond, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for i, holds := range isHolder {
+			if holds && i != first {
+				_ = servers[i].Listener.Close()
+				servers[i].CloseClientConnections()
+				break
+			}
+		}
+		close(holderEnded)
+	})
+	resp, body, err := s.call("/stream/x", "X-Prompt", "150000")
+	mu.Lock()
+	defer mu.Unlock()
+	if isHolder == [3]bool{} {
+		t.Fatal("no memory was reserved")
+	}
+	if err == nil && resp.StatusCode == http.StatusOK && strings.Count(body, "id: ") != events {
+		t.Errorf("the stream looks complete after %d of %d events", strings.Count(body, "id: "), events)
+	}
+}
+
+// Guards against a response that counts as whole although memory that is reserved for it may
+// have expired, or its holder doesn't respond.
+func TestEndWithoutReservedMemoryIsNoEnd(t *testing.T) {
+	now := bootclock.Now()
+	for name, tc := range map[string]struct {
+		heldFor   time.Duration
+		isFailing bool
+		framing   exchange.Framing
+		want      error
+	}{
+		"held":                    {time.Second, false, exchange.FramedByChunks, nil},
+		"lease over":              {0, false, exchange.FramedByChunks, errMemoryLost},
+		"lease nearly over":       {stopTolerance / 2, false, exchange.FramedByChunks, errMemoryLost},
+		"holder doesn't respond":  {time.Second, true, exchange.FramedByChunks, errMemoryLost},
+		"lease over, with length": {0, true, exchange.FramedByLength, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			res := &reservation{holder: s.add("holder", "model", "a", echo)}
+			res.heldUntil.Store(int64(now + tc.heldFor))
+			res.isFailing.Store(tc.isFailing)
+			a := &attempt{g: s.g, pick: &pick{reservations: []*reservation{res}}, sent: now, allowed: time.Minute}
+			if got := a.endError(tc.framing, now); got != tc.want {
+				t.Errorf("got %v, expected %v", got, tc.want)
+			}
+		})
+	}
+}
