gateway: the end of a leaving backend server's process is judged by its route

A backend server that says in its response that it leaves, and closes its listener before its last response has ended, got that response dropped, with 502 to the caller: only announcements counted as leaving. And one whose announcement says that it leaves was never asked, so that a stream that was cut by the end of its process looked complete.

Now both kinds of statements count as leaving. A refused connection then shows an end only for streams that another backend server can continue, which costs a whole stream nothing but a continuation; the two cases look alike on the wire.

Before: TestStreamOfALeavingBackendServerThatEndsIsContinued 2 of 2 cases, TestWholeResponseOfABackendServerThatSaysItLeavesIsDelivered fail.

--- a/internal/gateway/responseend.go
+++ b/internal/gateway/responseend.go
@@ -9,6 +9,7 @@
 
 	"bilberryhub/internal/exchange"
 	"bilberryhub/internal/fleet"
+	"bilberryhub/internal/manifest"
 )
 
 // Framing marks where the body of a response ends; it doesn't say that the body is whole. A
@@ -80,12 +81,24 @@
 }
 
 // processEnded reports whether the process of the backend server has ended in the middle of
-// the response, without an announcement.
+// the response. One that leaves may close its listener before its last response has ended, so
+// that a refused connection counts only where another one can continue.
 func (a *attempt) processEnded() bool {
 	time.Sleep(processExitTime)
+	if a.g.leaves(a.pick.backend) {
+		canContinue := a.r.route.Repeat == manifest.RepeatStream && a.r.route.Idempotent()
+		return canContinue && a.g.refusesConnections(a.g.ctx, a.pick.backend)
+	}
 	return a.g.hasCrashed(a.pick.backend)
 }
 
+// leaves reports whether a backend server leaves or has left, according to what it announces
+// or says in responses.
+func (g *Gateway) leaves(b *fleet.BackendServer) bool {
+	known := g.members.backend(b.ID)
+	return known == nil || known.Key() != b.Key() || !known.Usable() || errors.Is(g.noticeError(b.Key()), errLeaving)
+}
+
 // hasCrashed reports whether the process of a backend server has ended without an
 // announcement: its VM refuses connections.
 func (g *Gateway) hasCrashed(b *fleet.BackendServer) bool {
--- a/internal/gateway/responseend_test.go
+++ b/internal/gateway/responseend_test.go
@@ -15,6 +15,7 @@
 
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/exchange"
+	"bilberryhub/internal/fleet"
 )
 
 const onlyEvent = "id: 1\ndata: a\n\n"
@@ -215,3 +216,89 @@
 		})
 	}
 }
+
+// Guards against a stream without a length and without chunks that looks complete although the
+// process of its backend server has ended in the middle of it, after it had said that it leaves.
+func TestStreamOfALeavingBackendServerThatEndsIsContinued(t *testing.T) {
+	for name, change := range map[string]func(*fleet.BackendServer){
+		"draining": func(b *fleet.BackendServer) { b.Draining = true },
+		"gone":     func(b *fleet.BackendServer) { b.Gone = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = fmt.Fprintf(c, unframedHead+"id: 1\ndata: a\n\n", r.Header.Get("X-Id"))
+				}
+				s.leave("server-1", change)
+				s.announceRest()
+				time.Sleep(50 * time.Millisecond)
+				_ = l.Close()
+				_ = c.Close()
+			}()
+			s.announce("server-1", "model", "a", l.Addr().String())
+			resp, body, err := s.call("/stream/x", "X-Prompt", "100")
+			if err == nil && resp.StatusCode == http.StatusOK && body != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+				t.Errorf("the stream looks complete with %q", body)
+			}
+		})
+	}
+}
+
+// leave changes the announcement of a backend server.
+func (s *setup) leave(id string, change func(*fleet.BackendServer)) {
+	s.g.members.mu.Lock()
+	defer s.g.members.mu.Unlock()
+	b := *s.g.members.table.Get(id)
+	change(&b)
+	b.Sequence++
+	b.SeenAt = bootclock.Now()
+	s.g.members.sorted = nil
+	s.g.members.table.Merge(b)
+}
+
+// announceRest adds a backend server that sends the events after the first one.
+func (s *setup) announceRest() {
+	s.add("server-2", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		if r.Header.Get("Last-Event-Id") == "1" {
+			_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+		}
+	})
+}
+
+// Guards against a whole response that is dropped because its backend server, which says in
+// the response that it leaves, takes no connections any more: a planned stop closes the
+// listener first and lets the last responses end.
+func TestWholeResponseOfABackendServerThatSaysItLeavesIsDelivered(t *testing.T) {
+	s := newSetup(t)
+	s.add("server-2", "other", "a", echo)
+	s.add("server-3", "other", "b", echo)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = l.Close()
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Leaving: 1\r\n\r\nwhole", r.Header.Get("X-Id"))
+		}
+		_ = c.Close()
+	}()
+	s.announce("server-1", "plain", "a", l.Addr().String())
+	s.checkUnframed("/once/x", "whole", true)
+}
