gateway: a stream that begins anew isn't joined to what the caller has

It also dropped events on routes whose streams can't be continued, if the caller stated Last-Event-Id.

Such an event now ends the attempt: the stream is continued elsewhere or broken off. Routes that can't be continued are left alone. An entry process drops such events still, rightly: it continues the run that the same engine has kept.

Before: TestStreamThatCannotBeContinuedKeepsItsEvents fails.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,8 +73,6 @@
 	// firstMs is the time to the first event, pauseMs the longest pause
 	// between two events.
 	firstMs, pauseMs float64
-	// repeated is the number of events that the caller had already.
-	repeated int
 	// firstEventSeen is set from the first event on. Other goroutines read it
 	// too.
 	firstEventSeen atomic.Bool
--- a/internal/gateway/event_test.go
+++ b/internal/gateway/event_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -83,48 +84,71 @@
 	}
 }
 
-// Guards against events that a caller gets twice, from a backend server that begins a
-// continued stream anew, for a request of a caller that continues as well.
-func TestEventsThatTheCallerHasAreNotRepeated(t *testing.T) {
-	for last, want := range map[string]string{
-		"":  "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n",
-		"1": "id: 2\ndata: b\n\nid: 3\ndata: c\n\n",
-	} {
-		s := newSetup(t)
-		var isSecond atomic.Bool
-		serve := func(w http.ResponseWriter, r *http.Request) {
-			echo(w, r)
-			_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
-			_ = http.NewResponseController(w).Flush()
-			if !isSecond.Swap(true) {
-				panic(http.ErrAbortHandler)
-			}
-			_, _ = io.WriteString(w, "id: 3\ndata: c\n\n")
-		}
-		s.add("server-1", "model", "a", serve)
-		s.add("server-2", "model", "a", serve)
-		if _, body, err := s.call("/stream/x", "X-Prompt", "100", "Last-Event-Id", last); err != nil || body != want {
-			t.Errorf("after event %q: got %q, %v; expected %q", last, body, err, want)
+// Guards against events that a caller gets twice, or that belong to another run, from a
+// backend server that begins a continued stream anew; also for a caller that continues itself.
+func TestStreamThatBeginsAnewIsNotJoined(t *testing.T) {
+	for last, want := range map[string]string{"": events(1, 3), "1": events(2, 3)} {
+		for name, continues := range map[string]bool{"another one continues": true, "no other one": false} {
+			t.Run(name+" after "+last, func(t *testing.T) {
+				s := newSetup(t)
+				var runs atomic.Int32
+				serve := func(w http.ResponseWriter, r *http.Request) {
+					echo(w, r)
+					from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+					switch n := runs.Add(1); {
+					case n == 1 && last == "":
+						sendEvents(w, 1, 2)
+						panic(http.ErrAbortHandler)
+					case n == 2 && continues:
+						sendEvents(w, from+1, 3)
+					default:
+						sendEvents(w, 1, 3)
+					}
+				}
+				for _, id := range []string{"server-1", "server-2", "server-3"} {
+					s.add(id, "model", "a", serve)
+				}
+				resp, body, err := s.call("/stream/x", "X-Prompt", "100", "Last-Event-Id", last)
+				isComplete := err == nil && resp.StatusCode == http.StatusOK
+				if isComplete != continues || (isComplete && body != want) || strings.Count(body, "id: 1\n") > 1 {
+					t.Errorf("complete %v with %q, error %v", isComplete, body, err)
+				}
+			})
 		}
 	}
 }
 
-func TestIsRepeated(t *testing.T) {
+// Guards against a stream without its first events that looks complete: a route whose streams
+// can't be continued begins anew, whatever Last-Event-Id its caller states.
+func TestStreamThatCannotBeContinuedKeepsItsEvents(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+	s := newSetup(t)
+	s.add("server-1", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.WriteString(w, events)
+	})
+	if _, body, err := s.call("/rigid/x", "X-Prompt", "100", "Last-Event-Id", "2"); err != nil || body != events {
+		t.Errorf("got %q, %v; expected %q", body, err, events)
+	}
+}
+
+func TestIsHigher(t *testing.T) {
 	for _, tc := range []struct {
 		id, last string
 		want     bool
 	}{
-		{"1", "", false},
-		{"2", "1", false},
-		{"10", "9", false},
-		{"5", "1", false},
-		{"1", "1", true},
-		{"9", "10", true},
-		{"a", "1", false},
-		{"1", "a", false},
-		{"18446744073709551616", "1", false},
+		{"1", "", true},
+		{"2", "1", true},
+		{"10", "9", true},
+		{"5", "1", true},
+		{"1", "1", false},
+		{"9", "10", false},
+		{"a", "1", true},
+		{"1", "a", true},
+		{"18446744073709551616", "1", true},
 	} {
-		if got := isRepeated(tc.id, tc.last); got != tc.want {
+		if got := isHigher(tc.id, tc.last); got != tc.want {
 			t.Errorf("event %q after %q: %v", tc.id, tc.last, got)
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,7 +12,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
-	"go.uber.org/zap"
 
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/exchange"
@@ -179,9 +178,8 @@
 		}
 		last = now
 		if id, ok := eventID(event); ok {
-			if isRepeated(id, a.r.caller.LastEvent) {
-				a.recordRepeated(id)
-				continue
+			if a.r.route.Idempotent() && !isHigher(id, a.r.caller.LastEvent) {
+				return a.handleRepeated(id)
 			}
 			a.r.caller.LastEvent = id
 		}
@@ -192,25 +190,25 @@
 	}
 }
 
-// isRepeated reports whether an event with an id follows out of order after the event with the
-// id last: ids increase. Ids that are no numbers tell nothing.
-func isRepeated(id, last string) bool {
+// isHigher reports whether an event with an id may follow the event with the id last: ids
+// increase. Ids that are no numbers tell nothing.
+func isHigher(id, last string) bool {
 	n, err := strconv.ParseUint(id, 10, 64)
 	if err != nil {
-		return false
+		return true
 	}
 	m, err := strconv.ParseUint(last, 10, 64)
-	return err == nil && n <= m
+	return err != nil || n > m
 }
 
-// recordRepeated records an event that isn't forwarded, as the caller has it. The first one of
-// an attempt is logged.
-func (a *attempt) recordRepeated(id string) {
+// handleRepeated ends an attempt whose backend server sends an event that the caller has
+// already. It hasn't continued the stream but begun anew: its events are not the rest of those
+// that the caller has.
+func (a *attempt) handleRepeated(id string) attemptResult {
 	repeatedEvents.Inc()
-	if a.repeated++; a.repeated == 1 {
-		a.g.log.Warn("backend server repeats events", zap.String("request_id", a.r.caller.ID), zap.String("backend_server", a.pick.backend.ID),
-			zap.String("event", id), zap.String("last_event", a.r.caller.LastEvent))
-	}
+	a.err = errors.Errorf("%s sends event %s, and the caller has event %s", a.pick.backend.ID, id, a.r.caller.LastEvent)
+	a.blame(outcomeFailed, bootclock.Now())
+	return mayHaveRun
 }
 
 // firstEvent records the first event of an attempt, received at now.
