gateway: a stream of a killed backend server isn't whole while the path seems lost

A stream without a length and chunks still ended as complete too early when two backend servers of two failure domains were killed within half a second: the gateway then takes its path for lost, no other gateway could tell, and a refused connection counted as no proof of anything.

A refusal that isn't sure, like that of a backend server that leaves, now counts for streams that another backend server can continue, which costs a whole stream nothing but a continuation. Responses that can't be continued still count as whole then: connections may live on while new ones are refused.

Before: TestStreamOfTheSecondKilledBackendServerIsIncomplete fails. After: passes.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -239,24 +239,32 @@
 	return byKey[target.Key]
 }
 
-// refusesConnections reports whether a backend server refuses connections, according to
-// another gateway as well if there is one that can tell: on a lost path, connections may
-// be refused too.
+// refusesConnections reports whether a backend server surely refuses connections.
 func (g *Gateway) refusesConnections(ctx context.Context, b *fleet.BackendServer) bool {
+	refuses, isSure := g.checkRefusal(ctx, b)
+	return refuses && isSure
+}
+
+// checkRefusal reports whether a backend server refuses connections, according to another
+// gateway as well if there is one that can tell: on a lost path, connections may be refused
+// too. The refusal isn't sure if the path seems lost and no other gateway can tell.
+func (g *Gateway) checkRefusal(ctx context.Context, b *fleet.BackendServer) (refuses, isSure bool) {
 	if !g.isolation.isIsolated() && !g.refusesOwnConnection(ctx, b) {
-		return false
+		return false, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, crashConfirmTimeout)
+	peerCtx, cancel := context.WithTimeout(ctx, crashConfirmTimeout)
 	defer cancel()
-	conn, _, err := g.dialThroughPeer(ctx, b)
+	conn, _, err := g.dialThroughPeer(peerCtx, b)
 	switch {
 	case err == nil:
 		_ = conn.Close()
-		return false
-	case saysNothing(err):
-		return !g.isolation.isIsolated()
+		return false, true
+	case !saysNothing(err):
+		return errors.Is(err, syscall.ECONNREFUSED), true
+	case !g.isolation.isIsolated():
+		return true, true
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return g.refusesOwnConnection(ctx, b), false
 }
 
 // refusesOwnConnection reports whether a backend server refuses a connection of this
--- a/internal/gateway/responseend.go
+++ b/internal/gateway/responseend.go
@@ -81,15 +81,16 @@
 }
 
 // processEnded reports whether the process of the backend server has ended in the middle of
-// the response. One that leaves may close its listener before its last response has ended, so
-// that a refused connection counts only where another one can continue.
+// the response. A refused connection is no proof if the backend server leaves, as it may close
+// its listener before its last response has ended, or if the path of this gateway seems lost.
+// It counts then only where another backend server can continue, so that nothing is lost.
 func (a *attempt) processEnded() bool {
 	time.Sleep(processExitTime)
-	if a.g.leaves(a.pick.backend) {
-		canContinue := a.r.route.Repeat == manifest.RepeatStream && a.r.route.Idempotent()
-		return canContinue && a.g.refusesConnections(a.g.ctx, a.pick.backend)
+	refuses, isSure := a.g.checkRefusal(a.g.ctx, a.pick.backend)
+	if isSure && !a.g.leaves(a.pick.backend) {
+		return refuses
 	}
-	return a.g.hasCrashed(a.pick.backend)
+	return refuses && a.r.route.Repeat == manifest.RepeatStream && a.r.route.Idempotent()
 }
 
 // leaves reports whether a backend server leaves or has left, according to what it announces
--- a/internal/gateway/responseend_test.go
+++ b/internal/gateway/responseend_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,8 +81,9 @@
 }
 
 // serveOnce announces a backend server whose process ends in the middle of its first response,
-// which closes the connection and the listener. It returns its address.
-func (s *setup) serveOnce(id, service string) string {
+// which closes the connection and the listener. It calls before, if set, shortly before the end,
+// and returns its address.
+func (s *setup) serveOnce(id, service string, before func()) string {
 	s.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -96,6 +98,9 @@
 			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = fmt.Fprintf(c, unframedHead+"id: 1\ndata: a\n\n", r.Header.Get("X-Id"))
 		}
+		if before != nil {
+			before()
+		}
 		_ = c.Close()
 		_ = l.Close()
 	}()
@@ -113,12 +118,12 @@
 			// its own path.
 			s.add("server-2", "other", "a", echo)
 			s.add("server-3", "other", "b", echo)
-			s.serveOnce("server-1", serviceOf(path))
+			s.serveOnce("server-1", serviceOf(path), nil)
 			s.checkUnframed(path, "", false)
 		})
 		t.Run("through another gateway"+path, func(t *testing.T) {
 			s := newIsolatedSetup(t)
-			address := s.serveOnce("server-1", serviceOf(path))
+			address := s.serveOnce("server-1", serviceOf(path), nil)
 			s.others[0].announce("server-1", serviceOf(path), "a", address)
 			s.checkUnframed(path, "", false)
 		})
@@ -302,3 +307,12 @@
 	s.announce("server-1", "plain", "a", l.Addr().String())
 	s.checkUnframed("/once/x", "whole", true)
 }
+
+// Guards against a stream of a killed backend server that looks complete because the path of
+// the gateway seems lost, as another backend server was killed shortly before.
+func TestStreamOfTheSecondKilledBackendServerIsIncomplete(t *testing.T) {
+	s := newSetup(t)
+	killed := s.announce("killed", "other", "b", "127.0.0.1:9")
+	s.serveOnce("server-1", "model", func() { s.g.recordDial(killed, bootclock.Now(), syscall.ECONNREFUSED) })
+	s.checkUnframed("/stream/x", "", false)
+}
