gateway: a broken response is reset for callers of HTTP/1.0

A caller of HTTP/1.0 gets a stream without chunks, which ends with its connection: a stream that the gateway broke off looked complete to it. Its connection is reset now.

Before: TestBrokenStreamIsResetForCallersOfHTTP10 fails.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -73,6 +73,16 @@
 	return n, nil
 }
 
+// SetLinger sets how long the end of the connection waits for bytes that are not sent yet, in
+// s; 0 makes it a reset.
+func (c *conn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Errorf("connection %T of a caller has no linger time", c.Conn)
+	}
+	return errors.Trace(tcp.SetLinger(seconds))
+}
+
 // readNow reads what has arrived, and returns unix.EAGAIN if that is nothing.
 func (c *conn) readNow(fd int, buf []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -198,7 +198,7 @@
 	}
 	g.callers = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes, ErrorLog: debugLog,
-		ConnState: g.callerConns.Track,
+		ConnState: g.callerConns.Track, ConnContext: withConn,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.dialect.ReadyPath(), g.serveReady)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -454,3 +455,30 @@
 		t.Fatalf("stream %q, error %v", body, err)
 	}
 }
+
+// Guards against a stream that looks complete to a caller of HTTP/1.0 although it was broken
+// off: without chunks, only a reset tells a broken response from a whole one.
+func TestBrokenStreamIsResetForCallersOfHTTP10(t *testing.T) {
+	s := newSetup(t)
+	s.add("server-1", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		_, _ = io.WriteString(w, onlyEvent)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(100 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	})
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = fmt.Fprintf(c, "POST /rigid/x HTTP/1.0\r\nHost: h.example\r\nX-Id: old-1\r\nX-Key: %s\r\nX-Wait-Ms: 3000\r\nX-Prompt: 100\r\nContent-Length: 4\r\n\r\nbody", testKey)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode == http.StatusOK {
+		t.Errorf("a stream that was broken off looks complete: %q", body)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -298,7 +299,7 @@
 func (g *Gateway) writeError(r *request, err error) {
 	if r.events > 0 || r.status != 0 {
 		r.outcome = "broken off: " + err.Error()
-		panic(http.ErrAbortHandler)
+		r.abort()
 	}
 	var f *refusal
 	if !errors.As(err, &f) {
@@ -322,3 +323,20 @@
 		g.log.Debug("write refusal failed", zap.String("request_id", r.caller.ID), observe.Error(werr))
 	}
 }
+
+// connKey is the key of the connection of a caller in the context of a request.
+type connKey struct{}
+
+// withConn is the ConnContext function of the server for callers.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// abort breaks off a response that has begun, by a panic with http.ErrAbortHandler. To a caller
+// of HTTP/1.0, which gets no chunks, only a reset shows that the response isn't whole.
+func (r *request) abort() {
+	if c, ok := r.http.Context().Value(connKey{}).(interface{ SetLinger(int) error }); ok && !r.http.ProtoAtLeast(1, 1) {
+		_ = c.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -159,7 +159,9 @@
 	// Requests to a process that has just started would wait for the
 	// configuration that some tests leave out.
 	g.started = bootclock.Now() - time.Minute
-	front := httptest.NewServer(g)
+	front := httptest.NewUnstartedServer(g)
+	front.Config.ConnContext = withConn
+	front.Start()
 	t.Cleanup(func() {
 		front.Close()
 		g.cancel()
