soak: traces that tell the causes of three known red tests apart

two_planned_stops, paused_over_an_out_order and paused_dispatcher fail now and then beside busy processes. Hypotheses, before any change of logic:

two_planned_stops ("has exited with streams open") 1. The streams had ended: opening 18 streams, reading the counters and the call between the two checks take seconds on a busy machine, a stream 4 s. 2. The drain ends with requests open. Their callers then see a cut. 3. The process has ended by a fault. Its exit code and log would tell.

paused_over_an_out_order ("got n requests later than 3 s") 1. The counters before the pause's end could not be read, so that all requests count (n is large, "stats of" stands beside it). 2. The pause falls between the check of a dispatch and its write. 3. As 2, in a dispatcher that passes bytes on for an isolated process. 4. A process applies the order late, or grants from an old configuration.

paused_dispatcher ("no other process dispatches within 8 s") 1. The counters could not be read. 2. Lost announcements: after each timeout of 500 ms the backend server tries the paused process again, which then is its previous owner, so the next owner waits 2.5 s again. 3. A control loop of another process waits for the paused one. 4. The processes or the test get no processor time.

What tells them apart: times of streams and exits, requests that arrived last at a stand-in, dispatches written late after their check (also a metric), announcements accepted and failed, state dumps with a timeout of 5 s, and how late the test itself ran.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -62,6 +62,10 @@
 	// BeforeSend is called as part of the write of the first byte, if it is not
 	// nil. If it returns an error, nothing is sent and the dispatch fails.
 	BeforeSend func() error
+	// OnLateWrite is called, if it is not nil, when the process stalled between
+	// BeforeSend and the end of the first write. The backend server may then run what
+	// BeforeSend would not have allowed any more.
+	OnLateWrite func(delay time.Duration)
 }
 
 // Error is the error of a failed dispatch.
@@ -152,7 +156,7 @@
 // Do sends r and returns the response after checking that its request id, if it has
 // one, is that of r. The caller closes the body. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
-	writeGate := &gate{check: r.BeforeSend}
+	writeGate := &gate{check: r.BeforeSend, onLate: r.OnLateWrite}
 	ctx, cancel := context.WithCancel(ctx)
 	req, err := newRequest(withGate(ctx, writeGate), r)
 	if err != nil {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -191,7 +191,7 @@
 	resp, err := a.server.backends.Do(a.withRoute(ctx), &backend.Request{
 		Backend: a.member.GetBackend(), Address: a.member.GetAddress(), ID: a.id,
 		Method: a.req.method, Path: a.req.path, Header: a.header(), Body: body,
-		Idempotent: a.req.idempotent, BeforeSend: a.beforeSend,
+		Idempotent: a.req.idempotent, BeforeSend: a.beforeSend, OnLateWrite: a.recordLateWrite,
 	})
 	if err != nil {
 		return nil, a.sendErrorOutcome(ctx, err)
@@ -216,6 +216,12 @@
 	return nil
 }
 
+// recordLateWrite records that the process stalled between beforeSend and the write.
+func (a *attempt) recordLateWrite(delay time.Duration) {
+	metricLateDispatches.Inc()
+	a.log.Warn("dispatch was written late after its check", zap.Duration("delay", delay))
+}
+
 // body returns the body to send, which for a completion request has the given
 // fields replaced.
 func (a *attempt) body(overrides map[string]any) ([]byte, error) {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -16,6 +16,7 @@
 	metricResumes         = metrics.NewCounter("bilberry_stream_resumes_total")
 	metricCrashes         = metrics.NewCounter("bilberry_backend_crashes_total")
 	metricVoidPermits     = metrics.NewCounter("bilberry_void_permits_total")
+	metricLateDispatches  = metrics.NewCounter("bilberry_late_dispatches_total")
 	metricPauses          = metrics.NewCounter("bilberry_process_pauses_total")
 	metricIsolated        = metrics.NewCounter("bilberry_entry_isolated_total")
 	metricPeerConnections = metrics.NewCounter("bilberry_entry_peer_connections_total")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -269,10 +269,12 @@
 		c.core.ReleasePools(c.now())
 	})
 	s.log.Info("draining", zap.Int("open_requests", s.requests.count()), zap.Duration("limit", s.settings.drain()))
+	began := time.Now()
 	limit := time.NewTimer(s.settings.drain())
 	defer limit.Stop()
 	select {
 	case <-empty:
+		s.log.Info("no request is open any more", zap.Duration("after", time.Since(began)))
 	case <-limit.C:
 		open := s.requests.count()
 		s.abortRequests()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/loadtool"
+	"bilberryhub/internal/standin"
 )
 
 const (
@@ -157,6 +159,7 @@
 	time.Sleep(exclusionBound)
 	excluded := []string{"engine-d1-1", "engine-d2-1", "engine-d2-2"}
 	before := c.engineStatsNow()
+	resumedAt := time.Now()
 	resume(paused.process)
 	c.within(failoverTime+slack, "the resumed process serves", func() bool { return c.sendPrompt(paused, prompt{}).Outcome == loadtool.OK })
 	c.within(failoverTime+slack, "the engine in service gets requests", func() bool {
@@ -165,13 +168,23 @@
 	after := c.engineStats()
 	for _, id := range excluded {
 		if got := after[id].Requests - before[id].Requests; got != 0 {
-			t.Errorf("%s got %d requests later than %v after its exclusion", id, got, exclusionBound)
+			t.Errorf("%s got %d requests later than %v after its exclusion; last requests: %s", id, got, exclusionBound, describeRecent(after[id], resumedAt))
 		}
 	}
 	tr.stopAndWait()
 	t.Logf("paused over an out order: %s", tr.summary())
 }
 
+// describeRecent returns the last requests of an engine with the times after resumedAt at
+// which they arrived.
+func describeRecent(d standin.StatsDocument, resumedAt time.Time) string {
+	var b strings.Builder
+	for _, r := range d.Recent {
+		fmt.Fprintf(&b, "%s at %v; ", r.ID, r.At.Sub(resumedAt).Round(time.Millisecond))
+	}
+	return b.String()
+}
+
 // pausedDispatcher guards against two dispatchers that both grant the budget of a
 // cold engine (promise 3), and against a pool without service while its dispatcher
 // is paused.
@@ -184,15 +197,22 @@
 	time.Sleep(500 * time.Millisecond)
 	for range 2 {
 		pause(paused.process)
+		c.eventf("%s is paused", paused.name)
 		before, served := c.engineStats(), tr.ok.Load()
+		last := ""
 		c.within(failoverTime+slack, "another process dispatches for d1", func() bool {
 			now := c.engineStats()
+			if progress := describeTakeover(before, now); progress != last {
+				last = progress
+				c.eventf("%s", progress)
+			}
 			return now["engine-d1-1"].Requests > before["engine-d1-1"].Requests+2 && now["engine-d1-2"].Requests > before["engine-d1-2"].Requests+2
 		})
 		if tr.ok.Load() == served {
 			t.Error("no request was served during the pause")
 		}
 		resume(paused.process)
+		c.eventf("%s is resumed", paused.name)
 		time.Sleep(2 * time.Second)
 	}
 	for id, d := range c.engineStats() {
@@ -205,6 +225,16 @@
 	t.Logf("paused dispatcher: through others %s; through it %s", tr.summary(), pausedTraffic.summary())
 }
 
+// describeTakeover returns what the engines of d1 did between two readings of their counters.
+func describeTakeover(before, now map[string]standin.StatsDocument) string {
+	var b strings.Builder
+	for _, id := range []string{"engine-d1-1", "engine-d1-2"} {
+		fmt.Fprintf(&b, "%s: %d requests, %d announcements accepted, %d failed; ", id, now[id].Requests-before[id].Requests,
+			now[id].Announced-before[id].Announced, now[id].AnnounceFailed-before[id].AnnounceFailed)
+	}
+	return b.String()
+}
+
 // killedEntry guards against memory that stays reserved after the process that
 // relayed the streams was killed (promise 2), and against a pool without
 // dispatcher.
@@ -337,7 +367,9 @@
 		for i := range streamsPerEntry {
 			// 1,000 tokens take 4 s at this time scale.
 			wg.Go(func() {
+				began := time.Now()
 				r := c.sendPrompt(e, prompt{text: fmt.Sprintf("%s open %d", e.name, i), output: 1000})
+				c.eventf("%s stream %d: sent at %v, first token %v and end %v after that", e.name, i, c.sinceStart(began), r.TTFT, r.Total)
 				if r.Outcome != loadtool.OK {
 					t.Errorf("a stream through %s was interrupted: %s %s %s after %d tokens", e.name, r.Outcome, r.Code, r.Error, r.Tokens)
 				}
@@ -345,15 +377,18 @@
 		}
 	}
 	c.within(conditionTimeout, "streams are open", func() bool { return c.runningRequests() == streamsPerEntry*len(c.entries) })
+	c.eventf("%d streams are open", streamsPerEntry*len(c.entries))
 	for _, e := range stopped {
 		e.signal(syscall.SIGTERM)
 	}
+	c.eventf("SIGTERM is sent")
 	time.Sleep(300 * time.Millisecond)
 	for _, e := range stopped {
 		if e.waitExit(0) {
-			t.Errorf("%s has exited with streams open", e.name)
+			t.Errorf("%s has exited with streams open, at %v", e.name, c.sinceStart(e.exitTime()))
 			continue
 		}
+		c.eventf("%s has not exited", e.name)
 		if r := c.sendPrompt(e, prompt{}); r.Outcome == loadtool.OK {
 			t.Errorf("%s accepts requests while it drains", e.name)
 		}
@@ -362,7 +397,10 @@
 	for _, e := range stopped {
 		if !e.waitExit(slack) {
 			t.Errorf("%s has not exited after its last request", e.name)
-		} else if e.exitCode() != 0 {
+			continue
+		}
+		c.eventf("%s exited at %v", e.name, c.sinceStart(e.exitTime()))
+		if e.exitCode() != 0 {
 			t.Errorf("%s exited with code %d", e.name, e.exitCode())
 		}
 	}
--- a/internal/soak/observe_test.go
+++ b/internal/soak/observe_test.go
@@ -252,15 +252,24 @@
 	return d, c.fetchJSON(p.admin, "/dump", d)
 }
 
+// dumpTimeout bounds the request for a state dump after a failure. It is long, so that a
+// process that is stuck differs from one that is late.
+const dumpTimeout = 5 * time.Second
+
 // entryDumps returns the state dumps of all entry processes as text, for the log of
 // a failed test.
 func (c *cluster) entryDumps() string {
-	var b strings.Builder
-	for _, e := range c.entries {
-		data, err := c.fetch(e.admin, "/dump")
-		fmt.Fprintf(&b, "%s: %s %v\n", e.name, data, err)
+	dumps := make([]string, len(c.entries))
+	var wg sync.WaitGroup
+	for i, e := range c.entries {
+		wg.Go(func() {
+			began := time.Now()
+			data, err := fetch(c.http, e.admin, "/dump", dumpTimeout)
+			dumps[i] = fmt.Sprintf("%s after %v: %s %v\n", e.name, time.Since(began).Round(time.Millisecond), data, err)
+		})
 	}
-	return b.String()
+	wg.Wait()
+	return strings.Join(dumps, "")
 }
 
 // dispatcher returns the entry process that holds the leases of the engines of a
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -66,6 +66,7 @@
 	cmd          *exec.Cmd
 	exited       chan struct{}
 	code         int
+	exitedAt     time.Time
 	exitExpected bool
 	starts       int
 }
@@ -93,7 +94,7 @@
 	go func() {
 		_ = cmd.Wait()
 		p.mu.Lock()
-		p.code = cmd.ProcessState.ExitCode()
+		p.code, p.exitedAt = cmd.ProcessState.ExitCode(), time.Now()
 		p.mu.Unlock()
 		close(exited)
 	}()
@@ -146,6 +147,13 @@
 	return p.code
 }
 
+// exitTime returns when the test noticed the end of the last run, which must have exited.
+func (p *process) exitTime() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exitedAt
+}
+
 // exitedUnexpectedly reports whether the process has exited without a SIGKILL or
 // SIGTERM from the test.
 func (p *process) exitedUnexpectedly() bool {
--- a/internal/soak/setup_test.go
+++ b/internal/soak/setup_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,9 @@
 	// conditionTimeout bounds every wait for a condition that has no limit of its
 	// own.
 	conditionTimeout = 20 * time.Second
+	// eventLateness is the time before an event over which its line tells the lateness of
+	// the test.
+	eventLateness = 2 * time.Second
 	// pollInterval is the time between two checks of a condition.
 	pollInterval = 20 * time.Millisecond
 	// adminTimeout bounds one admin request to a process, which may be paused.
@@ -68,6 +72,26 @@
 	// restart: on a busy machine a connection may take over a second to open.
 	standinHTTP    *http.Client
 	manifestNumber uint64
+	startTime      time.Time
+
+	eventsMu sync.Mutex
+	// events is the timeline of the test, which is printed if it fails.
+	events []string
+}
+
+// sinceStart returns a time as the time since the start of the cluster.
+func (c *cluster) sinceStart(at time.Time) time.Duration {
+	return at.Sub(c.startTime).Round(time.Millisecond)
+}
+
+// eventf appends an event to the timeline of the test, with the largest delay of the test
+// itself in the last seconds.
+func (c *cluster) eventf(format string, args ...any) {
+	c.eventsMu.Lock()
+	defer c.eventsMu.Unlock()
+	now := time.Now()
+	c.events = append(c.events, fmt.Sprintf("%v (test late by up to %v): %s",
+		c.sinceStart(now), lateness.since(now.Add(-eventLateness)).Round(time.Millisecond), fmt.Sprintf(format, args...)))
 }
 
 type stateProcess struct {
@@ -111,7 +135,7 @@
 func newCluster(t *testing.T, l layout) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, layout: l, dir: newDir(t), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		t: t, layout: l, dir: newDir(t), startTime: time.Now(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		standinHTTP: &http.Client{Transport: &http.Transport{}},
 	}
 	t.Cleanup(c.stop)
@@ -146,6 +170,11 @@
 // stop kills every process by its process id and checks the logs, because the
 // metrics of a process that was killed cannot be read any more.
 func (c *cluster) stop() {
+	if c.t.Failed() {
+		c.eventsMu.Lock()
+		defer c.eventsMu.Unlock()
+		c.t.Logf("timeline:\n  %s", strings.Join(c.events, "\n  "))
+	}
 	for _, p := range c.processes() {
 		if p.cmd == nil {
 			continue
@@ -163,6 +192,10 @@
 // failurePattern matches log lines that must not occur in any test.
 var failurePattern = regexp.MustCompile(`invariant violated|panic:|fatal error:|DATA RACE`)
 
+// tracePattern matches log lines that tell what a process did about a fault: it was paused
+// or late, lost another process or drained. They are printed if the test has failed.
+var tracePattern = regexp.MustCompile(`process was paused|written late|entry process lost|draining|no request is open|SIGTERM`)
+
 // checkLog fails the test when the log of a process matches failurePattern. If the
 // test has failed, it prints the end of the log.
 func (c *cluster) checkLog(p *process) {
@@ -179,6 +212,11 @@
 	if c.t.Failed() {
 		lines := strings.Split(strings.TrimSpace(string(data)), "\n")
 		c.t.Logf("end of the log of %s:\n%s", p.name, strings.Join(lines[max(0, len(lines)-8):], "\n"))
+		for _, line := range lines[:max(0, len(lines)-8)] {
+			if tracePattern.MatchString(line) {
+				c.t.Logf("log of %s: %s", p.name, line)
+			}
+		}
 	}
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -156,6 +156,7 @@
 		}
 	}
 	e.stats.Requests.Add(1)
+	e.stats.recent.add(r.id)
 	e.open[r.id] = r
 	if e.model.cold {
 		running := uint64(len(e.model.waiting)+len(e.model.running)) + 1
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -102,6 +102,7 @@
 	b.plain.addOpen(id, 1)
 	defer b.plain.addOpen(id, -1)
 	b.in.stats.Requests.Add(1)
+	b.in.stats.recent.add(id)
 	reply := PlainReply{RequestID: id, Method: hr.Method, Path: hr.URL.Path, Boot: b.number, Server: b.in.cfg.ID}
 	if reply.EffectID = effectID(hr, raw); reply.EffectID != "" && hr.Method != http.MethodGet {
 		reply.Runs = b.in.effects.record(reply.EffectID)
--- a/internal/standin/stats.go
+++ b/internal/standin/stats.go
@@ -1,6 +1,41 @@
 package standin
 
-import "sync/atomic"
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// recentCount is the number of requests that recentRequests holds.
+const recentCount = 16
+
+// RecentRequest is one request that an instance accepted.
+type RecentRequest struct {
+	ID string    `json:"id"`
+	At time.Time `json:"at"`
+}
+
+// recentRequests holds the last requests, oldest first, so that a request that must not
+// have come can be traced to its sender.
+type recentRequests struct {
+	mu       sync.Mutex
+	requests []RecentRequest
+}
+
+func (r *recentRequests) add(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.requests) == recentCount {
+		r.requests = append(r.requests[:0], r.requests[1:]...)
+	}
+	r.requests = append(r.requests, RecentRequest{ID: id, At: time.Now()})
+}
+
+func (r *recentRequests) list() []RecentRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]RecentRequest{}, r.requests...)
+}
 
 // peak is the maximum of the values given to update.
 type peak struct{ atomic.Uint64 }
@@ -17,6 +52,7 @@
 // Stats counts the events of one instance over all its boots.
 type Stats struct {
 	Requests          atomic.Uint64
+	recent            recentRequests
 	Completed         atomic.Uint64
 	Cancelled         atomic.Uint64
 	CancelsIgnored    atomic.Uint64
@@ -38,25 +74,27 @@
 
 // StatsDocument is the response of GET /admin/stats for one instance.
 type StatsDocument struct {
-	ID                string `json:"id"`
-	Boot              uint64 `json:"boot"`
-	Up                bool   `json:"up"`
-	Cold              bool   `json:"cold"`
-	Requests          uint64 `json:"requests"`
-	Completed         uint64 `json:"completed"`
-	Cancelled         uint64 `json:"cancelled"`
-	CancelsIgnored    uint64 `json:"cancels_ignored"`
-	TooLarge          uint64 `json:"too_large"`
-	Overloads         uint64 `json:"overloads"`
-	Crashes           uint64 `json:"crashes"`
-	MaxConcurrent     uint64 `json:"max_concurrent"`
-	MaxConcurrentCold uint64 `json:"max_concurrent_cold"`
-	AfterLeaving      uint64 `json:"after_leaving"`
-	ExportsExpired    uint64 `json:"exports_expired"`
-	Announced         uint64 `json:"announced"`
-	AnnounceFailed    uint64 `json:"announce_failed"`
-	StaleOrders       uint64 `json:"stale_orders_applied"`
-	WastedTokens      uint64 `json:"wasted_tokens"`
+	ID       string `json:"id"`
+	Boot     uint64 `json:"boot"`
+	Up       bool   `json:"up"`
+	Cold     bool   `json:"cold"`
+	Requests uint64 `json:"requests"`
+	// Recent lists the last of the requests, oldest first.
+	Recent            []RecentRequest `json:"recent"`
+	Completed         uint64          `json:"completed"`
+	Cancelled         uint64          `json:"cancelled"`
+	CancelsIgnored    uint64          `json:"cancels_ignored"`
+	TooLarge          uint64          `json:"too_large"`
+	Overloads         uint64          `json:"overloads"`
+	Crashes           uint64          `json:"crashes"`
+	MaxConcurrent     uint64          `json:"max_concurrent"`
+	MaxConcurrentCold uint64          `json:"max_concurrent_cold"`
+	AfterLeaving      uint64          `json:"after_leaving"`
+	ExportsExpired    uint64          `json:"exports_expired"`
+	Announced         uint64          `json:"announced"`
+	AnnounceFailed    uint64          `json:"announce_failed"`
+	StaleOrders       uint64          `json:"stale_orders_applied"`
+	WastedTokens      uint64          `json:"wasted_tokens"`
 	// LeakedTokens is the memory held by running requests without a reader and by
 	// exports that no engine has imported.
 	LeakedTokens   uint64     `json:"leaked_tokens"`
@@ -72,7 +110,7 @@
 func (s *Stats) document(id string, boot uint64, e *engine) *StatsDocument {
 	d := &StatsDocument{
 		ID: id, Boot: boot,
-		Requests: s.Requests.Load(), Completed: s.Completed.Load(), Cancelled: s.Cancelled.Load(),
+		Requests: s.Requests.Load(), Recent: s.recent.list(), Completed: s.Completed.Load(), Cancelled: s.Cancelled.Load(),
 		CancelsIgnored: s.CancelsIgnored.Load(), TooLarge: s.TooLarge.Load(), Overloads: s.Overloads.Load(),
 		Crashes: s.Crashes.Load(), MaxConcurrent: s.MaxConcurrent.Load(),
 		MaxConcurrentCold: s.MaxConcurrentCold.Load(), AfterLeaving: s.AfterLeaving.Load(),
