announce: a backend server runs no request that was granted too long ago

Cause: an entry process checks the permit and the orders as part of the write of a dispatch. A pause between the check and the write, or of a dispatcher that passes the bytes on, puts the write off for any time. The backend server then got new work after it had been taken out of service.

Change: a grant names the announcement whose lease it is under, and each dispatch carries its number (X-Backend-Announcement). A backend server that has sent this announcement more than 2.5 s ago, by its own clock, answers 421, not run: the time after which a new owner grants as well. It checks when it has read the whole request. Weighed: a time of the sender (clocks are not shared), the index of the configuration (a backend server knows no orders). Later members of a group are not covered, as the first part takes any time; nor are engines that don't implement the header. Both are documented.

Result: e2e TestDispatchWrittenLateIsNotRun holds the write back for 3 s over an order.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -33,6 +33,14 @@
 	StatusWrongBoot = http.StatusMisdirectedRequest
 )
 
+// SequenceHeader carries the sequence number of the announcement whose lease a request was
+// granted under. A backend server that has sent this announcement longer than GrantLifetime
+// ago, by its own clock, responds with StatusWrongBoot as well and does not run the request.
+// No check in the sender can do that: a process may be paused after it, for any time, and
+// the bytes may wait in a process that passes them on. The backend server checks when it has
+// read the whole request. Backend servers that do not implement the header run the request.
+const SequenceHeader = "X-Backend-Announcement"
+
 const (
 	// Interval is the time between two announcements of one backend server.
 	Interval = 500 * time.Millisecond
@@ -41,6 +49,11 @@
 	// MaxDelay bounds the time from sending an announcement to its receipt: it is
 	// the timeout of the call in the backend server.
 	MaxDelay = 500 * time.Millisecond
+	// PermitLifetime is how long after a grant it may be used.
+	PermitLifetime = 500 * time.Millisecond
+	// GrantLifetime is the time from sending an announcement after which no request may
+	// begin to run that was granted under its lease.
+	GrantLifetime = MaxDelay + Lease + PermitLifetime
 	// maxAnnouncementBytes bounds one announcement; 4,096 open requests fit.
 	maxAnnouncementBytes = 1 << 20
 )
--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -10,7 +10,7 @@
 // takeoverWait is the waiting period of a new owner. The previous owner may hold its
 // lease from an announcement that was in flight for the maximum delay, and may have
 // granted at the last moment of the lease.
-const takeoverWait = announce.Lease + announce.MaxDelay + PermitLifetime
+const takeoverWait = announce.GrantLifetime
 
 // backendRetention is how long a backend server is kept in its pool after its lease has
 // lapsed.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,7 +34,7 @@
 const (
 	// PermitLifetime is how long after a grant its reservation is kept if the request
 	// is not started.
-	PermitLifetime = 500 * time.Millisecond
+	PermitLifetime = announce.PermitLifetime
 	// permitMargin is subtracted from the permit that is sent to the entry process, so
 	// that its report of a start at the last moment arrives before the grant is freed.
 	permitMargin = 50 * time.Millisecond
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -235,7 +235,7 @@
 	for _, m := range d.members {
 		g.Members = append(g.Members, &wirepb.GrantMember{
 			Backend: m.backend.id, Address: m.backend.last.Address, Boot: m.boot,
-			ReservedTokens: m.reserved, PartTokens: m.promptTokens,
+			ReservedTokens: m.reserved, PartTokens: m.promptTokens, Announcement: m.backend.last.Sequence,
 		})
 	}
 	c.emit(d, &wirepb.Envelope{Body: &wirepb.Envelope_Grant{Grant: g}})
--- a/internal/e2e/isolation_test.go
+++ b/internal/e2e/isolation_test.go
@@ -17,6 +17,8 @@
 type lostPath struct {
 	isLost  atomic.Bool
 	refuses bool
+	// stall, if set, holds back all writes.
+	stall atomic.Pointer[writeStall]
 }
 
 // backendDialer returns the function by which entry process i connects to backend
@@ -28,7 +30,11 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		switch {
 		case !path.isLost.Load():
-			return dial(ctx, network, address)
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &stallingConn{Conn: conn, path: path}, nil
 		case path.refuses:
 			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 		}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -236,6 +236,11 @@
 func (a *attempt) header() http.Header {
 	h := forwardedHeader(a.req)
 	h.Set(announce.BootHeader, strconv.FormatUint(a.member.GetBoot(), 10))
+	// The first part of a prompt may take any time; the reservation holds the later members.
+	// Dispatchers of earlier builds name no announcement.
+	if n := a.member.GetAnnouncement(); n != 0 && !a.firstPartSent {
+		h.Set(announce.SequenceHeader, strconv.FormatUint(n, 10))
+	}
 	return h
 }
 
@@ -245,7 +250,7 @@
 	h := r.header.Clone()
 	for _, name := range []string{
 		"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Accept-Encoding", deadlineHeader, urgencyHeader,
+		"Transfer-Encoding", "Upgrade", "Accept-Encoding", deadlineHeader, urgencyHeader, announce.SequenceHeader,
 	} {
 		h.Del(name)
 	}
@@ -302,12 +307,12 @@
 // checkStatus returns an outcome with an error if the engine rejected the request.
 // Responses of plain services are forwarded with any status except StatusWrongBoot,
 // with which the backend server states that the request was granted for another
-// boot and was not run.
+// boot, or too long ago, and was not run.
 func (a *attempt) checkStatus(resp *http.Response) outcome {
 	if resp.StatusCode == announce.StatusWrongBoot {
 		return outcome{
 			step: wirepb.Progress_STEP_REFUSED, excluded: a.member.GetBackend(),
-			err: refusal.New(refusal.BackendFailed, "backend server has restarted since the grant"),
+			err: refusal.New(refusal.BackendFailed, "backend server has restarted since the grant, or the grant was too old"),
 		}
 	}
 	if a.req.model == nil {
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -208,6 +208,7 @@
 	if err != nil {
 		return 0, "", errors.Annotatef(err, "build announcement to %s", to)
 	}
+	a.boot.announced.record(doc.Sequence)
 	resp, err := a.client.Do(req.WithContext(ctx))
 	if err != nil {
 		if !errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -25,6 +25,8 @@
 	number uint64
 	engine *engine
 	plain  *plain
+	// announced holds the times of the announcements of this boot.
+	announced announcementTimes
 }
 
 // routes returns the handler of the port of the instance.
@@ -137,6 +139,9 @@
 		writeError(w, http.StatusBadRequest, "bad_body", err.Error())
 		return nil, false
 	}
+	if b.refuseOldGrant(w, hr) {
+		return nil, false
+	}
 	body := &openai.Request{}
 	if err := json.Unmarshal(raw, body); err != nil {
 		writeError(w, http.StatusBadRequest, "bad_json", err.Error())
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -85,6 +85,9 @@
 		writeError(w, http.StatusBadRequest, "bad_body", err.Error())
 		return
 	}
+	if b.refuseOldGrant(w, hr) {
+		return
+	}
 	faults := b.in.faults.forNextRequest(string(raw))
 	if faults.crash {
 		b.in.crash(b, "marked request")
--- a/internal/standin/stats.go
+++ b/internal/standin/stats.go
@@ -68,6 +68,8 @@
 	Announced      atomic.Uint64
 	AnnounceFailed atomic.Uint64
 	StaleOrders    atomic.Uint64
+	// OldGrants counts the requests that were refused because their grant was too old.
+	OldGrants atomic.Uint64
 	// WastedInEarlierBoots counts the wasted tokens of earlier boots.
 	WastedInEarlierBoots atomic.Uint64
 }
@@ -94,6 +96,7 @@
 	Announced         uint64          `json:"announced"`
 	AnnounceFailed    uint64          `json:"announce_failed"`
 	StaleOrders       uint64          `json:"stale_orders_applied"`
+	OldGrants         uint64          `json:"old_grants_refused"`
 	WastedTokens      uint64          `json:"wasted_tokens"`
 	// LeakedTokens is the memory held by running requests without a reader and by
 	// exports that no engine has imported.
@@ -116,7 +119,7 @@
 		MaxConcurrentCold: s.MaxConcurrentCold.Load(), AfterLeaving: s.AfterLeaving.Load(),
 		ExportsExpired: s.ExportsExpired.Load(), Announced: s.Announced.Load(),
 		AnnounceFailed: s.AnnounceFailed.Load(), StaleOrders: s.StaleOrders.Load(),
-		WastedTokens: s.WastedInEarlierBoots.Load(),
+		OldGrants: s.OldGrants.Load(), WastedTokens: s.WastedInEarlierBoots.Load(),
 	}
 	if e == nil {
 		return d
