entry: an orderly end isn't taken for a whole response

Cause: a response that isn't a stream was whole to an entry process when its body had been read to an orderly end. Framing doesn't say that a body is whole: an engine that stops work may send the last chunk after a part of its JSON document, and a body without a length and chunks ends with its connection, which the kernel closes in the same way for a killed process. Callers got 200 with a part of the body, and a claim stored it as the outcome.

Streams are not affected: they need their terminal event.

Change: the body of an engine's response must be one JSON document. After a body of a plain service that ends with its connection, the health of the backend server is checked: if it has crashed, the outcome is unknown, and idempotent requests are sent again. A service that ends a response early by itself without stating a length can't be told from one that is done.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -193,6 +193,10 @@
 		a.log.Info("response truncated", observe.Error(err))
 		out.step, out.excluded = wirepb.Progress_STEP_BROKEN, a.member.GetBackend()
 		out.err = refusal.NewUnknown(refusal.BackendFailed, "connection broke before the whole answer had arrived")
+	case len(body) <= maxBufferedResponseBytes && a.endedEarly(ctx, resp, body):
+		a.log.Info("response ended in an orderly way, but is not whole", zap.Int("bytes", len(body)))
+		out.step, out.excluded = wirepb.Progress_STEP_BROKEN, a.member.GetBackend()
+		out.err = refusal.NewUnknown(refusal.BackendFailed, "backend server ended its answer before the whole of it had arrived")
 	case len(body) > maxBufferedResponseBytes:
 		out.step, out.err = wirepb.Progress_STEP_CANCELLED, refusal.NewUnknown(refusal.AnswerTruncated, "answer is larger than 16 MiB")
 		a.cancelStream()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -359,11 +359,7 @@
 // and sets the step of out if it has crashed. If the backend server does not respond
 // at all, there may be a network partition, so nothing follows about the request.
 func (a *attempt) checkForCrash(out *outcome) {
-	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
-	defer cancel()
-	health := a.server.backends.CheckHealth(a.withRoute(ctx), a.member.GetAddress(), a.member.GetBoot())
-	a.log.Info("health after a broken connection", zap.Stringer("health", health))
-	if health == backend.HealthCrashed {
+	if a.checkHealth(context.Background()) == backend.HealthCrashed {
 		out.step = wirepb.Progress_STEP_CRASHED
 		metricCrashes.Inc()
 	}
