gateway: tell the connecting gateway what a backend server says through it

A gateway without a path of its own to the backend servers sends through another one. A backend server counts the requests of the gateway that connects to it; yet a pause (503 with Retry-After) that came back on such a connection was kept by the asking gateway alone, so that the connecting one went on sending, for itself and for others. That a server leaves reached it by load shares only, which may be lost.

Now the asking gateway tells the connecting one with a call (Notice), and a gateway with a notice makes no connections for others to that backend server, which the asking one learns with its end. Another gateway is then asked, unless the server leaves. Refusals state the end of the earliest pause also if the request itself was refused by all servers, or all connecting gateways pause.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,8 @@
 	var buffered *bufferedResponse
 	ran := false
 	r.features = r.crashFeatures()
-	var last error
+	// paused is the pause because of which an attempt was not made, if there is one.
+	var last, paused error
 	for {
 		p, err := g.chooseOrWait(ctx, r)
 		if errors.Is(err, errCallerGone) {
@@ -113,7 +114,7 @@
 			if buffered != nil {
 				return g.forwardResponse(r, buffered)
 			}
-			return g.noBackendError(r, err, ran)
+			return g.noBackendError(r, earlier(paused, err), ran)
 		}
 		a := &attempt{g: g, r: r, pick: p, number: r.attempts + 1}
 		result := a.run(ctx)
@@ -129,7 +130,7 @@
 		case mayHaveRun:
 			ran = true
 		}
-		last = a.err
+		last, paused = a.err, earlier(paused, a.err)
 		r.tried = append(r.tried, p.backend.ID)
 		if len(r.tried) >= maxBackendsTried || !g.allowRetry(r, a.sent > 0, ran) {
 			break
@@ -241,7 +242,7 @@
 		return quarantine.retryAfter
 	}
 	var paused *pausedError
-	if errors.As(err, &paused) {
+	if errors.As(err, &paused) || errors.As(g.allPaused(r), &paused) {
 		return max(10*time.Millisecond, min(paused.until-bootclock.Now(), (r.deadline-bootclock.Now())/3))
 	}
 	var full *overloadError
@@ -309,7 +310,7 @@
 	g.recordContact(a.pick.backend.FailureDomain)
 	info := g.dialect.DecodeResponse(response.Status, response.Header)
 	a.recordLimit(info)
-	g.recordNotices(a.pick.backend, r.caller.ID, info)
+	g.recordNotices(a.pick.backend, path, r.caller.ID, info)
 	if info.NotRun {
 		return a.handleRefusal(response, info)
 	}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -11,17 +12,29 @@
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/notice"
+	"bilberryhub/internal/observe"
+	"bilberryhub/internal/peerconn"
+	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
 
-// maxSharedLeaving limits the backend servers that a load share names as leaving.
-const maxSharedLeaving = 256
+const (
+	// maxSharedLeaving limits the backend servers that a load share names as leaving.
+	maxSharedLeaving = 256
+	// tellTimeout bounds a call that tells another gateway of a notice.
+	tellTimeout = time.Second
+)
 
 var (
-	leavingNoticed   = metrics.GetOrCreateCounter(`bilberry_gateway_notices_total{kind="leaving"}`)
-	pausesNoticed    = metrics.GetOrCreateCounter(`bilberry_gateway_notices_total{kind="pause"}`)
-	invalidNoticed   = metrics.GetOrCreateCounter(`bilberry_gateway_notices_total{kind="invalid"}`)
-	noticesRespected = metrics.GetOrCreateCounter(`bilberry_gateway_backend_servers_out_by_notice_total`)
+	leavingNoticed = metrics.GetOrCreateCounter(`bilberry_gateway_notices_total{kind="leaving"}`)
+	pausesNoticed  = metrics.GetOrCreateCounter(`bilberry_gateway_notices_total{kind="pause"}`)
+	invalidNoticed = metrics.GetOrCreateCounter(`bilberry_gateway_notices_total{kind="invalid"}`)
+	noticesTold    = metrics.GetOrCreateCounter(`bilberry_gateway_notices_told_total{result="ok"}`)
+	noticesUntold  = metrics.GetOrCreateCounter(`bilberry_gateway_notices_told_total{result="failed"}`)
+	// connectsForbidden counts the connections that other gateways didn't make for this
+	// one because of a notice.
+	connectsForbidden = metrics.GetOrCreateCounter(`bilberry_gateway_peer_connections_total{result="notice"}`)
+	noticesRespected  = metrics.GetOrCreateCounter(`bilberry_gateway_backend_servers_out_by_notice_total`)
 )
 
 var errLeaving = errors.New("the backend servers leave")
@@ -53,31 +66,94 @@
 	table notice.Table
 }
 
-// recordNotices records what a response of a backend server says about it, and tells the
-// other gateways that it leaves. A pause is for this gateway only.
-func (g *Gateway) recordNotices(b *fleet.BackendServer, requestID string, info ResponseInfo) {
+// recordNotices records what a response of a backend server says about it. It tells the
+// other gateways that the backend server leaves. A pause is for this gateway only, and for
+// the one that made the connection, which the backend server takes for the sender.
+func (g *Gateway) recordNotices(b *fleet.BackendServer, path connPath, requestID string, info ResponseInfo) {
 	if !info.Leaving && info.Pause <= 0 && !info.InvalidNotice {
 		return
 	}
-	now, key, n := bootclock.Now(), b.Key(), g.notices
-	n.mu.Lock()
-	leaves := info.Leaving && n.table.RecordLeaving(key)
-	pauses := n.table.RecordPause(key, info.Pause, now, g.random())
-	n.mu.Unlock()
 	log := g.log.With(zap.String("backend_server", b.ID), zap.String("request_id", requestID))
 	if info.InvalidNotice {
 		invalidNoticed.Inc()
 		log.Info("ignoring an invalid notice of a backend server")
 	}
+	key := b.Key()
+	if g.addNotices(log, key, info.Leaving, info.Pause, bootclock.Now()) {
+		g.sendToAll(&wirepb.LoadShare{Leaving: []uint64{key}})
+	}
+	if path.gateway != "" && (info.Leaving || info.Pause > 0) {
+		go g.tellConnecting(path, log, &wirepb.Notice{Backend: key, Leaving: info.Leaving, PauseMs: pauseMs(info.Pause)})
+	}
+}
+
+// pauseMs returns a pause in whole ms, rounded up, as other gateways are told.
+func pauseMs(pause time.Duration) uint32 {
+	return uint32((min(pause, notice.MaxPause) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// addNotices adds what this gateway was told at now about a backend server. It reports
+// whether it is new that the backend server leaves.
+func (g *Gateway) addNotices(log *zap.Logger, key uint64, isLeaving bool, pause, now time.Duration) (leaves bool) {
+	n := g.notices
+	n.mu.Lock()
+	leaves = isLeaving && n.table.RecordLeaving(key)
+	pauses := n.table.RecordPause(key, pause, now, g.random())
+	n.mu.Unlock()
 	if pauses {
 		pausesNoticed.Inc()
-		log.Info("backend server wants a pause", zap.Duration("pause", info.Pause))
+		log.Info("backend server wants a pause", zap.Duration("pause", pause))
 	}
 	if leaves {
 		leavingNoticed.Inc()
 		log.Info("backend server says that it leaves")
-		g.sendToAll(&wirepb.LoadShare{Leaving: []uint64{key}})
 	}
+	return leaves
+}
+
+// tellConnecting tells the gateway that made the connection for a response what the
+// response says about its backend server.
+func (g *Gateway) tellConnecting(path connPath, log *zap.Logger, n *wirepb.Notice) {
+	ctx, cancel := context.WithTimeout(g.ctx, tellTimeout)
+	defer cancel()
+	_, err := g.members.clients.Get(path.address).Call(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Notice{Notice: n}})
+	if err != nil {
+		// An earlier build doesn't serve the call.
+		noticesUntold.Inc()
+		log.Info("gateway that connected wasn't told of a notice", zap.String("gateway", path.gateway), observe.Error(err))
+		return
+	}
+	noticesTold.Inc()
+}
+
+// serveNotice serves the call of a gateway for which this one made a connection.
+func (g *Gateway) serveNotice(st *wire.Stream, n *wirepb.Notice) error {
+	peer := st.Peer().ID
+	if !g.members.isGatewayID(peer) {
+		return errors.Errorf("%s is no known gateway", peer)
+	}
+	log := g.log.With(zap.String("through_gateway", peer), zap.Uint64("backend", n.GetBackend()))
+	g.addNotices(log, n.GetBackend(), n.GetLeaving(), milliseconds(int64(n.GetPauseMs())), bootclock.Now())
+	return st.Send(wire.AckEnvelope())
+}
+
+// connectNotice returns what a backend server has told this gateway that forbids a
+// connection for another one, or nil.
+func (g *Gateway) connectNotice(target peerconn.Target) *wirepb.Notice {
+	b := g.members.backend(target.ID)
+	if b == nil {
+		return nil
+	}
+	now, key := bootclock.Now(), b.Key()
+	_, err := g.checkNotices(key, now)
+	var paused *pausedError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &paused):
+		return &wirepb.Notice{Backend: key, PauseMs: pauseMs(paused.until - now)}
+	}
+	return &wirepb.Notice{Backend: key, Leaving: true}
 }
 
 // checkNotices returns why no request may be sent to a backend server, and otherwise
@@ -98,6 +174,28 @@
 	return false, nil
 }
 
+// allPaused returns the pause that ends first if all backend servers that could serve a
+// request want one or leave, and nil otherwise.
+func (g *Gateway) allPaused(r *request) error {
+	if r.service == nil {
+		return nil
+	}
+	servers, _ := g.members.backends()
+	v, now := g.sync.Current(), bootclock.Now()
+	var first error
+	for _, b := range servers {
+		if out, _ := v.Excluded(b.FailureDomain, b.ID); out || b.Service != r.service.Name || !b.Usable() {
+			continue
+		}
+		_, err := g.checkNotices(b.Key(), now)
+		if err == nil {
+			return nil
+		}
+		first = earlier(first, err)
+	}
+	return first
+}
+
 // noticeError returns why no request may be sent to a backend server now, or nil.
 func (g *Gateway) noticeError(backend uint64) error {
 	_, err := g.checkNotices(backend, bootclock.Now())
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -95,6 +95,10 @@
 	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 		t.Fatalf("%v: %s", err, body)
 	}
+	// Both have refused this request itself. Without the pause, it would say 1.3 s.
+	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err != nil || after < 1.35 || after > 1.667 {
+		t.Errorf("Retry-After of the first refusal is %q", resp.Header.Get("Retry-After"))
+	}
 	for range 10 {
 		start := bootclock.Now()
 		resp, _, err := s.call("/once/x", "X-Wait-Ms", "5000")
@@ -129,7 +133,7 @@
 		s.add(fmt.Sprintf("engine-%d", i), "model", "a", echo)
 	}
 	leaving := s.add("leaving", "model", "a", echo)
-	s.g.recordNotices(leaving, "", ResponseInfo{Leaving: true})
+	s.g.recordNotices(leaving, connPath{}, "", ResponseInfo{Leaving: true})
 	for i := range 5 {
 		r := &request{caller: CallerRequest{ID: fmt.Sprint(i), PromptTokens: 250_000, OutputTokens: 100}, arrived: bootclock.Now()}
 		r.version = s.g.sync.Current()
--- a/internal/gateway/peerconn.go
+++ b/internal/gateway/peerconn.go
@@ -41,8 +41,9 @@
 type connPath struct {
 	// isDirect is set if an own connection of this gateway was chosen.
 	isDirect bool
-	// gateway is the id of the other gateway that connected; empty if this one did.
-	gateway string
+	// gateway is the id of the other gateway that connected, and address its address for
+	// calls; both are empty if this one did.
+	gateway, address string
 }
 
 // send sends a request to a backend server, on an own connection or through another
@@ -55,11 +56,11 @@
 		r.Dialed = func(err error) { g.recordDial(b, now, err) }
 	} else {
 		r.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
-			conn, gatewayID, err := g.dialThroughPeer(ctx, b)
-			if err != nil && triesItself && saysNothing(err) && ctx.Err() == nil {
+			conn, peer, err := g.dialThroughPeer(ctx, b)
+			if err != nil && triesItself && saysNothing(err) && !errors.Is(err, errLeaving) && ctx.Err() == nil {
 				return g.dialItself(ctx, b, err)
 			}
-			path.gateway = gatewayID
+			path.gateway, path.address = peer.id, peer.address
 			return conn, err
 		}
 	}
@@ -81,30 +82,58 @@
 	return conn, nil
 }
 
-// dialThroughPeer connects to a backend server through another gateway, whose id it
-// returns; see saysNothing for its errors.
-func (g *Gateway) dialThroughPeer(ctx context.Context, b *fleet.BackendServer) (conn net.Conn, gatewayID string, err error) {
+// dialThroughPeer connects to a backend server through another gateway, which it returns;
+// see saysNothing for its errors. A gateway that was told to pause doesn't connect, and
+// the next one is asked: the pause is not for that one. If the backend server leaves,
+// no other one is asked.
+func (g *Gateway) dialThroughPeer(ctx context.Context, b *fleet.BackendServer) (conn net.Conn, peer connectingGateway, err error) {
 	err = errNoPeer
 	for _, p := range g.members.connectingGateways(b.FailureDomain, maxPeersTried) {
-		conn, err = peerconn.Dial(ctx, g.ctx, g.members.clients.Get(p.address), peerconn.Target{ID: b.ID, Address: b.Address})
-		if err == nil {
+		conn, dialErr := peerconn.Dial(ctx, g.ctx, g.members.clients.Get(p.address), peerconn.Target{ID: b.ID, Address: b.Address})
+		if dialErr == nil {
 			peerConnections.Inc()
-			return conn, p.id, nil
+			return conn, p, nil
 		}
 		peerFailures.Inc()
-		if !saysNothing(err) || ctx.Err() != nil {
-			return nil, "", err
+		if notice := g.noticeOfPeer(b, dialErr); notice != nil {
+			if errors.Is(notice, errLeaving) {
+				return nil, connectingGateway{}, notice
+			}
+			err = earlier(err, notice)
+			continue
 		}
+		if !saysNothing(dialErr) || ctx.Err() != nil {
+			return nil, connectingGateway{}, dialErr
+		}
+		err = earlier(err, dialErr)
 		g.members.avoidGateway(p.id, bootclock.Now()+peerAvoidTime)
-		g.log.Info("gateway couldn't connect for this one", zap.String("gateway", p.id), zap.String("backend_server", b.ID), observe.Error(err))
+		g.log.Info("gateway couldn't connect for this one", zap.String("gateway", p.id), zap.String("backend_server", b.ID), observe.Error(dialErr))
+	}
+	return nil, connectingGateway{}, err
+}
+
+// noticeOfPeer returns the notice because of which another gateway doesn't connect to a
+// backend server, or nil if err is none. It records that the backend server leaves.
+func (g *Gateway) noticeOfPeer(b *fleet.BackendServer, err error) error {
+	var told *peerconn.NoticeError
+	if !errors.As(err, &told) {
+		return nil
+	}
+	connectsForbidden.Inc()
+	if told.IsLeaving && told.Backend == b.Key() {
+		g.mergeLeaving([]uint64{told.Backend})
+		return errLeaving
 	}
-	return nil, "", err
+	// The other gateway may know another lifetime, which says nothing about this one.
+	return &pausedError{bootclock.Now() + told.Pause}
 }
 
-// saysNothing reports whether a failed connection says nothing about the backend server.
+// saysNothing reports whether a failed connection says nothing about the health of the
+// backend server.
 func saysNothing(err error) bool {
 	var peerErr *peerconn.PeerError
-	return errors.As(err, &peerErr) || errors.Is(err, errNoPeer)
+	var paused *pausedError
+	return errors.As(err, &peerErr) || errors.As(err, &paused) || errors.Is(err, errNoPeer) || errors.Is(err, errLeaving)
 }
 
 // newPeerServer returns the server that connects for other gateways.
@@ -112,6 +141,7 @@
 	return &peerconn.Server{
 		Max: peerconn.MaxConnections(g.settings.MemoryMB), Allows: g.allowsConnect,
 		Dial:   func(ctx context.Context, address string) (net.Conn, error) { return g.exchanges.Dial(ctx, address) },
+		Notice: g.connectNotice,
 		Dialed: func(target peerconn.Target, err error) { g.dialedByPeer(g.members.backend(target.ID), err) },
 	}
 }
@@ -125,11 +155,13 @@
 
 // servePeer serves a call of another gateway.
 func (g *Gateway) servePeer(ctx context.Context, st *wire.Stream, req *wirepb.Envelope) error {
-	connect := req.GetConnect()
-	if connect == nil {
-		return errors.Errorf("call %T is not served by a gateway", req.GetBody())
+	switch body := req.GetBody().(type) {
+	case *wirepb.Envelope_Connect:
+		return g.connects.Serve(ctx, st, body.Connect)
+	case *wirepb.Envelope_Notice:
+		return g.serveNotice(st, body.Notice)
 	}
-	return g.connects.Serve(ctx, st, connect)
+	return errors.Errorf("call %T is not served by a gateway", req.GetBody())
 }
 
 // allowsConnect returns why another process gets no connection to a target, or nil.
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -108,7 +108,7 @@
 func (g *Gateway) callHolder(ctx context.Context, res reservation, target string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	response, _, err := g.send(ctx, res.holder, true, exchange.Request{
+	response, path, err := g.send(ctx, res.holder, true, exchange.Request{
 		Method: http.MethodPost, Target: target, Host: res.holder.Address,
 		Header: g.dialect.ReservationHeader(res.holder.ID), Body: body,
 		// The response states no request, so that on a reused connection a late copy
@@ -119,7 +119,7 @@
 		return errors.Trace(err)
 	}
 	defer response.Close()
-	g.recordNotices(res.holder, "", g.dialect.DecodeResponse(response.Status, response.Header))
+	g.recordNotices(res.holder, path, "", g.dialect.DecodeResponse(response.Status, response.Header))
 	if _, err := response.ReadAll(maxReserveResponseBytes); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -69,12 +69,32 @@
 
 func (e *PeerError) Error() string { return "connect through " + e.Peer + ": " + e.Err.Error() }
 
+// NoticeError reports that a peer makes no connection because of what the backend server
+// has told it. Nothing was sent.
+type NoticeError struct {
+	Peer string
+	// Backend is the hash of the id and the lifetime of the backend server that the peer
+	// knows.
+	Backend uint64
+	// IsLeaving is set if the backend server leaves, and Pause is otherwise how long it
+	// wants no requests from the peer.
+	IsLeaving bool
+	Pause     time.Duration
+}
+
+func (e *NoticeError) Error() string {
+	if e.IsLeaving {
+		return "connect through " + e.Peer + ": the backend server leaves"
+	}
+	return "connect through " + e.Peer + ": the backend server wants no requests for " + e.Pause.String()
+}
+
 // Target is a backend server.
 type Target struct{ ID, Address string }
 
 // Dial connects to a backend server through the peer that client calls, until ctx ends
 // or a timeout passes. The connection outlives ctx, but not lifetime. The error is a
-// *PeerError, or states that the peer couldn't connect: it then wraps
+// *PeerError, a *NoticeError, or states that the peer couldn't connect: it then wraps
 // syscall.ECONNREFUSED if the backend server refuses connections.
 //
 // Reading from the connection returns io.EOF only if the backend server has ended it in
@@ -130,6 +150,9 @@
 		err = errors.Errorf("connect to %s through %s: %s", target.Address, client.Address(), failure.GetMessage())
 	case failure != nil:
 		err = &PeerError{Peer: client.Address(), Err: errors.New(failure.GetMessage())}
+	case reply.GetNotice() != nil:
+		n := reply.GetNotice()
+		err = &NoticeError{Peer: client.Address(), Backend: n.GetBackend(), IsLeaving: n.GetLeaving(), Pause: time.Duration(n.GetPauseMs()) * time.Millisecond}
 	case reply.GetAck() == nil:
 		err = &PeerError{Peer: client.Address(), Err: errors.Errorf("unexpected reply %T", reply.GetBody())}
 	}
@@ -150,6 +173,10 @@
 	// Allows returns why a call of a peer for a target is refused, or nil. A process must
 	// not connect strangers, or to addresses that are none of a backend server.
 	Allows func(peer wire.Peer, target Target) error
+	// Notice, if set, returns what a target has told this process that forbids a
+	// connection, or nil: the target counts the requests of peers as requests of this
+	// process.
+	Notice func(target Target) *wirepb.Notice
 	// Dial connects to an address.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Dialed, if set, is called with the result of each dial.
@@ -181,6 +208,12 @@
 	if err := s.Allows(st.Peer(), target); err != nil {
 		return s.refuse(st, codeUnavailable, err)
 	}
+	if s.Notice != nil {
+		if n := s.Notice(target); n != nil {
+			refused.Inc()
+			return st.Send(&wirepb.Envelope{Body: &wirepb.Envelope_Notice{Notice: n}})
+		}
+	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	conn, err := s.Dial(dialCtx, target.Address)
 	cancel()
--- a/internal/peerconn/peerconn_test.go
+++ b/internal/peerconn/peerconn_test.go
@@ -172,6 +172,50 @@
 	}
 }
 
+// Guards against a connection to a backend server that has told the peer to pause or that
+// it leaves, and against a notice that looks like a failure of the peer.
+func TestPeerWithANoticeDoesNotConnect(t *testing.T) {
+	p := newPeer(t)
+	p.Dial = func(context.Context, string) (net.Conn, error) {
+		t.Error("the peer connects")
+		return nil, errors.New("no")
+	}
+	for _, want := range []NoticeError{{Backend: 7, IsLeaving: true}, {Backend: 8, Pause: 1500 * time.Millisecond}} {
+		p.Notice = func(target Target) *wirepb.Notice {
+			if target.ID != "b" {
+				t.Errorf("asked for %v", target)
+			}
+			return &wirepb.Notice{Backend: want.Backend, Leaving: want.IsLeaving, PauseMs: uint32(want.Pause.Milliseconds())}
+		}
+		_, err := Dial(t.Context(), t.Context(), p.client, Target{ID: "b", Address: "127.0.0.1:9"})
+		var got *NoticeError
+		if !errors.As(err, &got) || got.Backend != want.Backend || got.IsLeaving != want.IsLeaving || got.Pause != want.Pause {
+			t.Errorf("got %v, expected %+v", err, want)
+		}
+	}
+}
+
+// Guards against an earlier build that takes the reply of a peer with a notice for a
+// connection, or for a failure of the backend server. It reads the reply as one without a
+// body.
+func TestEarlierBuildTakesANoticeForNoHelp(t *testing.T) {
+	p := newPeer(t)
+	_ = p.wire.Close()
+	server, err := wire.Serve("127.0.0.1:0", wire.Options{Self: wire.Identity{Kind: wire.KindEntry, ID: "peer"}},
+		func(_ context.Context, st *wire.Stream, _ *wirepb.Envelope) error { return st.Send(&wirepb.Envelope{}) }, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	client := wire.NewClient(server.Address(), wire.Options{Self: wire.Identity{Kind: wire.KindEntry, ID: "caller"}})
+	defer client.Close()
+	_, err = Dial(t.Context(), t.Context(), client, Target{ID: "b", Address: "127.0.0.1:9"})
+	var peerErr *PeerError
+	if !errors.As(err, &peerErr) {
+		t.Fatalf("got %v", err)
+	}
+}
+
 func hang(ctx context.Context, _ string) (net.Conn, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
