entry: obey a backend server that says in a response that it leaves; stand-in says it

Entry processes read a pause from responses 503 and 429, but not that a backend server leaves: with announcements that are late or say otherwise, a server that leaves got requests until its next announcement. A pause reached the dispatcher with the end of the dispatch, which for the body of a plain service may be much later, and was lost if the dispatch had ended. A value without a meaning was ignored without a trace.

Now responses may carry announce.LeavingHeader. A response of another boot, or of an engine that names no request, says nothing.

The stand-in sends both by its faults say_leaving, pause_next and retry_after, with any value, and counts the requests that arrive within a pause from half a second after the response on (in_pause).

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -33,6 +33,10 @@
 	StatusWrongBoot = http.StatusMisdirectedRequest
 )
 
+// LeavingHeader, with the value 1 in a response, states that the backend server leaves,
+// whatever its announcements say.
+const LeavingHeader = "X-Backend-Leaving"
+
 const (
 	// Interval is the time between two announcements of one backend server.
 	Interval = 500 * time.Millisecond
--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -120,7 +120,7 @@
 	b.cache = prefixCache{}
 	b.ttftFit, b.prefillSpeed, b.overhead = ttftRegression{}, 0, 0
 	b.reportAt, b.reportEarliest, b.reportedOpen, b.foreignStale = 0, 0, nil, true
-	b.pausedUntil = 0
+	b.pausedUntil, b.saidLeaving = 0, false
 	clear(b.maybeRunning)
 	// A waiting period continues, for the same reason: permits of the previous owner
 	// may still be used.
@@ -191,6 +191,8 @@
 	switch {
 	case b.last.Leaving:
 		return false, "leaving"
+	case b.saidLeaving:
+		return false, "said that it leaves"
 	case b.down:
 		return false, "crash reported"
 	case !c.disabled.leaseCheck && c.now >= b.leaseEnd:
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -134,6 +134,7 @@
 // start.
 func (c *Core) Progress(now time.Duration, m *wirepb.Progress) {
 	c.advance(now)
+	c.recordNotices(m)
 	d := c.dispatches[m.DispatchId]
 	if d == nil {
 		if m.Step == wirepb.Progress_STEP_STARTED || m.Step == wirepb.Progress_STEP_FIRST_TOKEN {
@@ -146,7 +147,6 @@
 	if d.state == stateQueued {
 		return
 	}
-	c.recordPause(d, m)
 	switch m.Step {
 	case wirepb.Progress_STEP_STARTED:
 		c.markStarted(d)
@@ -170,15 +170,26 @@
 	c.drainQueue(d.pool)
 }
 
-// recordPause records that the backend server of a dispatch wants no requests for some
-// time. A pause is never shortened.
-func (c *Core) recordPause(d *dispatch, m *wirepb.Progress) {
+// recordNotices records what a backend server has said of itself in a response: that it
+// leaves, or that it wants no requests for some time. A pause is never shortened. The
+// dispatch may have ended before, as the report may be late.
+func (c *Core) recordNotices(m *wirepb.Progress) {
 	pause := min(time.Duration(m.PauseMs)*time.Millisecond, notice.MaxPause)
-	b := d.pool.backends[m.Backend]
-	if pause <= 0 || b == nil || b.boot != m.Boot {
+	if pause <= 0 && !m.Leaving {
 		return
 	}
-	b.pausedUntil = max(b.pausedUntil, c.now+pause)
+	p := c.pools[poolKey{m.FailureDomain, m.Service}]
+	if p == nil {
+		return
+	}
+	b := p.backends[m.Backend]
+	if b == nil || b.boot != m.Boot {
+		return
+	}
+	if pause > 0 {
+		b.pausedUntil = max(b.pausedUntil, c.now+pause)
+	}
+	b.saidLeaving = b.saidLeaving || m.Leaving
 	b.touch()
 }
 
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -123,7 +123,7 @@
 	next := time.Duration(0)
 	for _, b := range p.sortedBackends {
 		until := max(b.waitUntil, b.pausedUntil)
-		if c.now >= until || c.now >= b.leaseEnd || b.last.Leaving {
+		if c.now >= until || c.now >= b.leaseEnd || b.last.Leaving || b.saidLeaving {
 			continue
 		}
 		if left := until - c.now; next == 0 || left < next {
--- a/internal/dispatch/script_test.go
+++ b/internal/dispatch/script_test.go
@@ -227,8 +227,12 @@
 func (s *script) progress(d *datadriven.TestData) {
 	elapsed := uint64(100)
 	step := wirepb.Progress_Step(wirepb.Progress_Step_value["STEP_"+strings.ToUpper(d.CmdArgs[0].Key)])
-	pause := uint64(0)
+	pause, leaving := uint64(0), false
 	for _, a := range d.CmdArgs[2:] {
+		if a.Key == "leaving" {
+			leaving = true
+			continue
+		}
 		if a.Key == "pause" {
 			pause = uint64(s.duration(a).Milliseconds())
 			continue
@@ -236,7 +240,10 @@
 		elapsed = uint64(s.duration(a).Milliseconds())
 	}
 	for _, id := range d.CmdArgs[1].Vals {
-		m := &wirepb.Progress{DispatchId: id, Step: step, ElapsedMs: uint32(elapsed), OutputTokens: 10, PauseMs: uint32(pause)}
+		m := &wirepb.Progress{
+			DispatchId: id, Step: step, ElapsedMs: uint32(elapsed), OutputTokens: 10, PauseMs: uint32(pause), Leaving: leaving,
+			FailureDomain: "x", Service: "svc",
+		}
 		for _, g := range s.members[id] {
 			if step <= wirepb.Progress_STEP_FIRST_TOKEN {
 				s.backends[g.Backend].open[id] = true
--- a/internal/dispatch/tables.go
+++ b/internal/dispatch/tables.go
@@ -58,6 +58,8 @@
 	waitUntil time.Duration
 	// pausedUntil is the end of the pause that it asked for in a response, or 0.
 	pausedUntil time.Duration
+	// saidLeaving is set if it said in a response of this boot that it leaves.
+	saidLeaving bool
 	// completeReportFrom is the time since which a load report must have been taken to
 	// list all requests that an earlier owner started.
 	completeReportFrom time.Duration
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,7 +11,6 @@
 
 	"bilberryhub/internal/announce"
 	"bilberryhub/internal/backend"
-	"bilberryhub/internal/notice"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/relay"
@@ -42,9 +41,6 @@
 	member *wirepb.GrantMember
 	// id is the dispatch id.
 	id string
-	// pause is how long the backend server wants no more requests, according to its
-	// response.
-	pause time.Duration
 	// firstPartSent is set when the first member has prefilled its part. The permit
 	// has been used then, and the reservation holds the later members.
 	firstPartSent bool
@@ -142,7 +138,7 @@
 	if out.step == wirepb.Progress_STEP_DONE && res.grant.GetSuspected() {
 		s.clearSuspicion(r)
 	}
-	res.reportEnd(a.member, out.step, time.Since(a.start), out.tokens, a.pause)
+	res.report(a.member, out.step, time.Since(a.start), out.tokens)
 	if out.step == wirepb.Progress_STEP_CRASHED {
 		// All dispatchers must have recorded the crash before the caller can send
 		// the request again.
@@ -196,7 +192,7 @@
 	if err != nil {
 		return nil, a.sendErrorOutcome(ctx, err)
 	}
-	a.pause = requestedPause(resp)
+	a.reportNotices(resp)
 	if out := a.checkStatus(resp); out.err != nil {
 		_ = resp.Body.Close()
 		return nil, out
@@ -329,21 +325,6 @@
 	return out
 }
 
-// requestedPause returns how long the backend server that sent a response wants no more
-// requests: the Retry-After of a response 429 or 503, in seconds. A value that is no
-// number of seconds, or stands there twice, has no meaning.
-func requestedPause(resp *http.Response) time.Duration {
-	values := resp.Header.Values("Retry-After")
-	if len(values) != 1 || (resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests) {
-		return 0
-	}
-	seconds, err := strconv.ParseFloat(values[0], 64)
-	if err != nil || !(seconds > 0) {
-		return 0
-	}
-	return time.Duration(min(seconds, notice.MaxPause.Seconds()) * float64(time.Second))
-}
-
 // checkForCrash checks the health of the backend server after a broken connection
 // and sets the step of out if it has crashed. If the backend server does not respond
 // at all, there may be a network partition, so nothing follows about the request.
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -37,16 +37,11 @@
 // report reports a step of the dispatch at member m. elapsed is the time since the
 // start of the dispatch.
 func (r *reservation) report(m *wirepb.GrantMember, step wirepb.Progress_Step, elapsed time.Duration, tokens uint64) {
-	r.reportEnd(m, step, elapsed, tokens, 0)
-}
-
-// reportEnd is report with the pause that the backend server asked for.
-func (r *reservation) reportEnd(m *wirepb.GrantMember, step wirepb.Progress_Step, elapsed time.Duration, tokens uint64, pause time.Duration) {
 	r.send(&wirepb.Progress{
 		DispatchId: r.grant.GetDispatchId(), Service: r.reserve.GetService(),
 		FailureDomain: r.reserve.GetFailureDomain(), Step: step,
 		ElapsedMs: uint32(elapsed.Milliseconds()), OutputTokens: tokens,
-		Backend: m.GetBackend(), Boot: m.GetBoot(), PauseMs: uint32(pause.Milliseconds()),
+		Backend: m.GetBackend(), Boot: m.GetBoot(),
 	})
 }
 
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -36,6 +36,13 @@
 	Refuse bool `json:"refuse,omitempty"`
 	// Leaving announces that the instance is leaving; it still serves requests.
 	Leaving bool `json:"leaving,omitempty"`
+	// SayLeaving is the value of announce.LeavingHeader in all responses to requests, which
+	// say that the instance leaves; the announcements go on as before. Empty sends none.
+	SayLeaving string `json:"say_leaving,omitempty"`
+	// PauseNext requests are refused with 503 and RetryAfter as the Retry-After, which
+	// need not be a number. They are not run.
+	PauseNext  int    `json:"pause_next,omitempty"`
+	RetryAfter string `json:"retry_after,omitempty"`
 	// IgnoreCancel runs cancelled requests to their end.
 	IgnoreCancel bool `json:"ignore_cancel,omitempty"`
 	// Silent stops the announcements.
@@ -60,6 +67,7 @@
 	dropConnection bool
 	dropAfterRun   bool
 	crash          bool
+	pause          bool
 }
 
 // faultInjector holds the faults of an instance and assigns them to requests. It is
@@ -111,6 +119,7 @@
 		wrongID: consume(&x.WrongIDNext), crossID: consume(&x.CrossIDNext),
 		truncate: consume(&x.TruncateNext), duplicate: consume(&x.DuplicateNext),
 		dropConnection: consume(&x.DropNext), dropAfterRun: consume(&x.DropAfterRunNext),
+		pause: consume(&x.PauseNext),
 		crash: x.CrashMarker != "" && strings.Contains(text, x.CrashMarker),
 	}
 	if consume(&x.HangNext) {
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -25,6 +25,7 @@
 	number uint64
 	engine *engine
 	plain  *plain
+	pauses pauseWindow
 }
 
 // routes returns the handler of the port of the instance.
@@ -106,6 +107,10 @@
 		dropConnection(w)
 		return
 	}
+	if b.notices(w, r.injected) {
+		r.kvSource.release()
+		return
+	}
 	r.stream.attach()
 	if b.in.faults.get().Leaving {
 		b.in.stats.AfterLeaving.Add(1)
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -99,6 +99,10 @@
 		b.in.stats.AfterLeaving.Add(1)
 	}
 	id := hr.Header.Get(openai.HeaderRequestID)
+	w.Header().Set(openai.HeaderRequestID, id)
+	if b.notices(w, faults) {
+		return
+	}
 	b.plain.addOpen(id, 1)
 	defer b.plain.addOpen(id, -1)
 	b.in.stats.Requests.Add(1)
--- a/internal/standin/script_test.go
+++ b/internal/standin/script_test.go
@@ -127,6 +127,13 @@
 		return fmt.Sprintln(s.instance().Effects())
 	case "until":
 		return s.until(d)
+	case "sleep":
+		wait, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(wait)
+		return ""
 	}
 	t.Fatalf("unknown command %s", d.Cmd)
 	return ""
@@ -232,7 +239,7 @@
 		return "connection lost\n"
 	}
 	defer func() { _ = resp.Body.Close() }()
-	out := fmt.Sprintf("%d id=%s", resp.StatusCode, resp.Header.Get(openai.HeaderRequestID))
+	out := fmt.Sprintf("%d id=%s", resp.StatusCode, resp.Header.Get(openai.HeaderRequestID)) + said(resp)
 	switch {
 	case resp.StatusCode != http.StatusOK:
 		var e struct{ Error struct{ Code string } }
@@ -249,6 +256,18 @@
 	return out + fmt.Sprintf(" checksum=%v of %s, %d tokens\n", ok, requestID, full.Usage.CompletionTokens)
 }
 
+// said describes what a response says of its instance.
+func said(resp *http.Response) string {
+	out := ""
+	if v := resp.Header.Get(announce.LeavingHeader); v != "" {
+		out += " leaving=" + v
+	}
+	if v := resp.Header.Get("Retry-After"); v != "" {
+		out += " retry=" + v
+	}
+	return out
+}
+
 // readStream reads a stream to its end, or to breakAfter events if that is positive,
 // and returns a description of its events.
 func (s *script) readStream(resp *http.Response, prompt string, breakAfter int) string {
@@ -336,6 +355,9 @@
 		return "connection lost\n"
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Sprintf("%d id=%s%s\n", resp.StatusCode, resp.Header.Get(openai.HeaderRequestID), said(resp))
+	}
 	var reply PlainReply
 	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
 		return fmt.Sprintln(resp.StatusCode, "truncated")
--- a/internal/standin/stats.go
+++ b/internal/standin/stats.go
@@ -27,7 +27,13 @@
 	MaxConcurrentCold peak
 	// AfterLeaving counts requests accepted while the instance announced that
 	// it is leaving.
-	AfterLeaving   atomic.Uint64
+	AfterLeaving atomic.Uint64
+	// SaidLeaving counts responses that say that the instance leaves, Pauses those that
+	// want a pause, and InPause the requests that arrive within one, from pauseGrace
+	// after the response on.
+	SaidLeaving    atomic.Uint64
+	Pauses         atomic.Uint64
+	InPause        atomic.Uint64
 	ExportsExpired atomic.Uint64
 	Announced      atomic.Uint64
 	AnnounceFailed atomic.Uint64
@@ -52,6 +58,9 @@
 	MaxConcurrent     uint64 `json:"max_concurrent"`
 	MaxConcurrentCold uint64 `json:"max_concurrent_cold"`
 	AfterLeaving      uint64 `json:"after_leaving"`
+	SaidLeaving       uint64 `json:"said_leaving"`
+	Pauses            uint64 `json:"pauses"`
+	InPause           uint64 `json:"in_pause"`
 	ExportsExpired    uint64 `json:"exports_expired"`
 	Announced         uint64 `json:"announced"`
 	AnnounceFailed    uint64 `json:"announce_failed"`
@@ -76,6 +85,7 @@
 		CancelsIgnored: s.CancelsIgnored.Load(), TooLarge: s.TooLarge.Load(), Overloads: s.Overloads.Load(),
 		Crashes: s.Crashes.Load(), MaxConcurrent: s.MaxConcurrent.Load(),
 		MaxConcurrentCold: s.MaxConcurrentCold.Load(), AfterLeaving: s.AfterLeaving.Load(),
+		SaidLeaving: s.SaidLeaving.Load(), Pauses: s.Pauses.Load(), InPause: s.InPause.Load(),
 		ExportsExpired: s.ExportsExpired.Load(), Announced: s.Announced.Load(),
 		AnnounceFailed: s.AnnounceFailed.Load(), StaleOrders: s.StaleOrders.Load(),
 		WastedTokens: s.WastedInEarlierBoots.Load(),
