dispatch: refuse queued requests when all backend servers leave or pause too long

New requests were refused at once while no backend server could be granted; those that waited already were held until their deadline, also when all backend servers had said that they leave, or wanted pauses beyond that deadline.

--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -136,6 +136,26 @@
 	return next
 }
 
+// allOut reports whether all backend servers of a pool leave or want a pause, and when the
+// first pause ends; 0 if all leave.
+func (c *Core) allOut(p *pool) (isOut bool, until time.Duration) {
+	for _, b := range p.sortedBackends {
+		switch {
+		case c.now >= b.leaseEnd:
+		case b.last.Leaving || b.saidLeaving:
+			isOut = true
+		case c.now >= b.pausedUntil:
+			return false, 0
+		default:
+			isOut = true
+			if until == 0 || b.pausedUntil < until {
+				until = b.pausedUntil
+			}
+		}
+	}
+	return isOut, until
+}
+
 // enqueue queues a request and grants what can be placed. If the queue is over its
 // limit, the last request of the account with the largest backlog is refused, so that a
 // burst of one account cannot shut out the others.
@@ -173,6 +193,7 @@
 	serve, why := c.mayServe(p.key.domain)
 	speed := c.maxPrefillSpeed(p)
 	_, group := c.largestMemory(p, "")
+	isOut, until := c.allOut(p)
 	for _, d := range p.queue.allByArrival() {
 		left, quarantined := c.quarantined(d)
 		switch {
@@ -182,6 +203,8 @@
 			c.refuse(d, refusal.New(refusal.DeadlineExceeded, "the deadline passed in the queue"))
 		case !serve:
 			c.refuse(d, refusal.New(refusal.NoConfig, why).WithRetryAfter(time.Second))
+		case isOut && (until == 0 || until >= d.deadline):
+			c.refuse(d, refusal.New(refusal.NoCapacity, "all backend servers leave or want a pause").WithRetryAfter(c.untilNextBackend(p)))
 		case group > 0 && d.tokens() > group:
 			c.refuse(d, refusal.New(refusal.NoCapacity, "too few engines are left for this prompt").WithRetryAfter(noBackendRetryAfter))
 		case c.now+seconds(float64(d.req.PromptTokens)/speed)+p.averages.decode(d) > d.deadline:
