--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -243,14 +243,14 @@
 	}
 	var paused *pausedError
 	if errors.As(err, &paused) || errors.As(g.allPaused(r), &paused) {
-		return max(10*time.Millisecond, min(paused.until-bootclock.Now(), (r.deadline-bootclock.Now())/3))
+		return max(10*time.Millisecond, min(paused.until-g.now(), (r.deadline-g.now())/3))
 	}
 	var full *overloadError
 	if errors.As(err, &full) {
 		mean = max(mean, time.Duration(full.untilMs*float64(time.Millisecond)))
 	}
 	d := time.Duration((0.7 + 0.6*g.random()) * float64(mean))
-	return max(10*time.Millisecond, min(d, (r.deadline-bootclock.Now())/3))
+	return max(10*time.Millisecond, min(d, (r.deadline-g.now())/3))
 }
 
 // retryAfterTooLarge is the Retry-After of a request that no backend server can
@@ -286,6 +286,7 @@
 	}
 	// The choice may be older than a notice, as reservations take time.
 	if a.err = g.noticeError(a.pick.job.backend); a.err != nil {
+		noticesRespected.Inc()
 		return notRun
 	}
 	a.sent = bootclock.Now()
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -11,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
-	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/enginemodel"
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/manifest"
@@ -119,7 +118,7 @@
 	v := g.sync.Current()
 	g.workTable.mu.Lock()
 	defer g.workTable.mu.Unlock()
-	now := bootclock.Now()
+	now := g.now()
 	works := g.workTable.works(now)
 	var list, unreachable []candidate
 	refused := errNoBackend
@@ -141,6 +140,7 @@
 		}
 		isSpared, err := g.checkNotices(key, now)
 		if err != nil {
+			noticesRespected.Inc()
 			refused = earlier(refused, err)
 			continue
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,8 @@
 	ready          *http.Server
 	admin          *observe.Admin
 
+	// now is the clock of choices and notices. Tests replace it.
+	now func() time.Duration
 	// started is when the Gateway was created.
 	started time.Duration
 	// open is the number of requests of callers that are being served.
@@ -117,7 +119,7 @@
 // New returns a gateway that doesn't listen yet. Start starts it.
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
-		settings: s, dialect: d, log: log, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
+		settings: s, dialect: d, log: log, now: bootclock.Now, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
 		callerConns: callerconn.NewSet(), budget: newBudget(s), reachability: newReachability(), isolation: newIsolation(), suspects: newSuspects(), limits: newLimits(), notices: &notices{}, exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.sendDatagram = func(data []byte, to netip.AddrPort) error {
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/notice"
 	"bilberryhub/internal/observe"
@@ -79,7 +78,7 @@
 		log.Info("ignoring an invalid notice of a backend server")
 	}
 	key := b.Key()
-	if g.addNotices(log, key, info.Leaving, info.Pause, bootclock.Now()) {
+	if g.addNotices(log, key, info.Leaving, info.Pause, g.now()) {
 		g.sendToAll(&wirepb.LoadShare{Leaving: []uint64{key}})
 	}
 	if path.gateway != "" && (info.Leaving || info.Pause > 0) {
@@ -133,7 +132,7 @@
 		return errors.Errorf("%s is no known gateway", peer)
 	}
 	log := g.log.With(zap.String("through_gateway", peer), zap.Uint64("backend", n.GetBackend()))
-	g.addNotices(log, n.GetBackend(), n.GetLeaving(), milliseconds(int64(n.GetPauseMs())), bootclock.Now())
+	g.addNotices(log, n.GetBackend(), n.GetLeaving(), milliseconds(int64(n.GetPauseMs())), g.now())
 	return st.Send(wire.AckEnvelope())
 }
 
@@ -144,7 +143,7 @@
 	if b == nil {
 		return nil
 	}
-	now, key := bootclock.Now(), b.Key()
+	now, key := g.now(), b.Key()
 	_, err := g.checkNotices(key, now)
 	var paused *pausedError
 	switch {
@@ -163,10 +162,8 @@
 	defer g.notices.mu.Unlock()
 	switch state, until := g.notices.table.State(backend, now); state {
 	case notice.Leaving:
-		noticesRespected.Inc()
 		return false, errLeaving
 	case notice.Paused:
-		noticesRespected.Inc()
 		return false, &pausedError{until}
 	case notice.Spared:
 		return true, nil
@@ -181,7 +178,7 @@
 		return nil
 	}
 	servers, _ := g.members.backends()
-	v, now := g.sync.Current(), bootclock.Now()
+	v, now := g.sync.Current(), g.now()
 	var first error
 	for _, b := range servers {
 		if out, _ := v.Excluded(b.FailureDomain, b.ID); out || b.Service != r.service.Name || !b.Usable() {
@@ -198,7 +195,7 @@
 
 // noticeError returns why no request may be sent to a backend server now, or nil.
 func (g *Gateway) noticeError(backend uint64) error {
-	_, err := g.checkNotices(backend, bootclock.Now())
+	_, err := g.checkNotices(backend, g.now())
 	return err
 }
 
