entry: refuse with the end of the first pause while no pool is in service

An entry process that knows from summaries that all pools are out answered with a Retry-After of 1 s, whatever pauses the engines had asked for: seen in TestNotices, at one of six entry processes, with 19.9 s left. A dispatcher whose backend servers all leave or pause now states the time until the first pause ends as the wait of its pool, which stays out of service, so that earlier builds ignore it; no message changes. If all known pools state one, the earliest is the Retry-After.

soak TestNotices plays real processes: an engine says that it leaves while the leader of the state processes is killed and an entry process restarted, one wants a pause while its announcements are cut off, the dispatcher is killed, the engine restarts under a new boot, and all engines want pauses; with idle engines, and with busy ones (two requests at a time, 36 callers).

--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -85,6 +85,12 @@
 	if q := c.Summaries(0)[0]; q.ShortWaitMs == 0 || q.FreeMemoryTokens != 1200 || q.Sequence <= s.Sequence {
 		t.Errorf("pool with a queue: %v", q)
 	}
+	for i, b := range c.sortedPools[0].sortedBackends {
+		c.Progress(0, &wirepb.Progress{Service: "svc", FailureDomain: "x", Backend: b.id, Boot: b.boot, PauseMs: uint32(1000 * (3 - i))})
+	}
+	if q := c.Summaries(0)[0]; q.InService || q.ShortWaitMs != 1000 || q.LongWaitMs != 1000 {
+		t.Errorf("all backend servers want a pause: %v", q)
+	}
 	c.ReleasePools(0)
 	if s := c.Summaries(0)[0]; s.InService {
 		t.Errorf("stopping dispatcher: %v", s)
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -69,11 +69,15 @@
 }
 
 // queueWait estimates the waiting time of a new request of a length class until its
-// grant, in ms. It returns the highest value if no backend server is usable.
+// grant, in ms. If no backend server is usable, it returns the time until the first pause
+// ends if all leave or want one, and otherwise the highest value.
 func (c *Core) queueWait(p *pool, long bool) uint32 {
 	probe := &dispatch{pool: p, long: long, req: &wirepb.Reserve{}, arrivedAt: c.now}
 	f, ok := c.forecast(p, probe)
 	if !ok {
+		if isOut, until := c.allOut(p); isOut && until > 0 {
+			return uint32((until - c.now).Milliseconds())
+		}
 		return math.MaxUint32
 	}
 	return uint32(min(f.wait.Milliseconds(), math.MaxUint32))
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -38,12 +38,16 @@
 	}
 	var out []target
 	var code refusal.Code
+	var untilReturn time.Duration
+	isExcluded := func(domain string) bool {
+		excluded, _ := r.version.Excluded(domain, "")
+		return excluded
+	}
 	err := s.loop.do(ctx, func(c *control) {
 		var candidates []routing.Candidate
-		candidates, code = c.router.Candidates(c.now(), q, func(domain string) bool {
-			excluded, _ := r.version.Excluded(domain, "")
-			return excluded
-		})
+		if candidates, code = c.router.Candidates(c.now(), q, isExcluded); len(candidates) == 0 {
+			untilReturn, _ = c.router.UntilFirstReturn(c.now(), r.service.Name, isExcluded)
+		}
 		for _, candidate := range candidates {
 			if p, ok := c.peers.Get(candidate.Dispatcher); ok {
 				out = append(out, target{candidate.FailureDomain, peerRef{p.ID, p.Address}})
@@ -57,7 +61,11 @@
 		// Engines may be absent temporarily, so a later retry may succeed.
 		return nil, refusal.New(code, fmt.Sprintf("no engine or group of engines in service can hold %d tokens", q.Tokens)).WithRetryAfter(promptTooLargeRetryAfter)
 	case len(out) == 0:
-		return nil, noCapacity("no backend server of service " + r.service.Name + " is in service")
+		refErr := noCapacity("no backend server of service " + r.service.Name + " is in service")
+		if untilReturn > 0 {
+			refErr = refErr.WithRetryAfter(untilReturn)
+		}
+		return nil, refErr
 	}
 	return out, nil
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -190,6 +191,27 @@
 	return nil, refusal.NoCapacity
 }
 
+// UntilFirstReturn returns the time until the first pool of a service is expected to be in
+// service again, if none is and all that are known have stated it. excluded is as in
+// Candidates.
+func (t *Table) UntilFirstReturn(now time.Duration, service string, excluded func(domain string) bool) (first time.Duration, ok bool) {
+	t.now = max(t.now, now)
+	for k, p := range t.pools {
+		s := t.current(p)
+		if k.service != service || s == nil || excluded(k.domain) {
+			continue
+		}
+		if s.msg.InService || s.msg.ShortWaitMs == math.MaxUint32 {
+			return 0, false
+		}
+		left := max(0, time.Duration(s.msg.ShortWaitMs)*time.Millisecond-(t.now-s.at))
+		if !ok || left < first {
+			first, ok = left, true
+		}
+	}
+	return first, ok
+}
+
 // wait estimates the wait in a pool, as seen from this process.
 func (t *Table) wait(k poolKey, p *pool, s *summary, r Request) time.Duration {
 	ms := s.msg.ShortWaitMs
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -12,11 +12,17 @@
 	"bilberryhub/internal/wirepb"
 )
 
-// Guards against a choice from outdated or incomplete summaries.
+// Guards against a choice from outdated or incomplete summaries, and against a time until
+// pools return that one of them hasn't stated.
 func TestCandidates(t *testing.T) {
+	datadriven.Walk(t, "testdata", testTable)
+}
+
+// testTable runs the commands of one file with an empty table.
+func testTable(t *testing.T, file string) {
 	table := New(Config{Entry: "e0", FailureDomain: "x", DefaultDistance: 3 * time.Millisecond})
 	now := time.Duration(0)
-	datadriven.RunTest(t, "testdata/candidates", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
 		arg := func(name string, value uint64) uint64 {
 			d.MaybeScanArgs(t, name, &value)
 			return value
@@ -41,6 +47,9 @@
 			table.RecordSent(now, d.CmdArgs[0].Key, "svc", arg("tokens", 0))
 		case "lost":
 			table.RemoveDispatcher("d"+d.CmdArgs[0].Key, 1)
+		case "returns":
+			left, ok := table.UntilFirstReturn(now, "svc", func(domain string) bool { return d.HasArg("exclude") && domain == "x" })
+			return fmt.Sprintln(left, ok)
 		case "choose":
 			model := "m"
 			d.MaybeScanArgs(t, "model", &model)
