notice: keep notices over the removal of a backend server from the list

Now notices of unknown backend servers are kept for 10 minutes, unless the table is half full.

TestEndOfNotices expected that Retain drops an unknown backend server at once, which is the fault; it now expects that its notices are kept for that time, dropped after it, and dropped at once when the table is full.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -19,6 +19,9 @@
 	returnTime = time.Second
 	// maxEntries bounds the table. Backend servers that are known come first, see Retain.
 	maxEntries = 8192
+	// retention is how long the notices of a backend server are kept that is not known any
+	// more: an old list may bring the same lifetime back.
+	retention = 10 * time.Minute
 )
 
 // State is what a process does with a backend server.
@@ -42,6 +45,8 @@
 	leaving bool
 	// pausedUntil is the end of the pause, or 0.
 	pausedUntil time.Duration
+	// unknownSince is since when the backend server is not known, or 0.
+	unknownSince time.Duration
 }
 
 // Table holds the notices of all backend servers. The zero value is ready to use. It is
@@ -111,13 +116,23 @@
 	return out
 }
 
-// Retain drops the notices of backend servers that are not known any more, and pauses
-// that are over.
+// Retain drops the notices of backend servers that are not known for some time, at once if
+// the table is half full, and pauses that are over.
 func (t *Table) Retain(known map[uint64]bool, now time.Duration) {
+	keepsUnknown := len(t.entries) <= maxEntries/2
 	for backend, n := range t.entries {
-		if !known[backend] || (!n.leaving && now >= n.pausedUntil+returnTime) {
+		isOver := !n.leaving && now >= n.pausedUntil+returnTime
+		switch {
+		case known[backend]:
+			n.unknownSince = 0
+		case n.unknownSince == 0:
+			n.unknownSince = now
+		}
+		if isOver || !known[backend] && (!keepsUnknown || now >= n.unknownSince+retention) {
 			delete(t.entries, backend)
+			continue
 		}
+		t.entries[backend] = n
 	}
 }
 
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -164,7 +164,19 @@
 	if s := state(5, 0); s != Open {
 		t.Errorf("an unknown backend server is %v", s)
 	}
+	// Pauses that are over are dropped, and the notices of an unknown backend server only
+	// after some time, as an old list may bring it back.
+	table.RecordLeaving(6)
 	table.Retain(map[uint64]bool{1: true, 4: true}, time.Minute)
+	if len(table.entries) != 3 || state(4, 0) != Leaving || state(2, time.Minute) != Paused {
+		t.Errorf("%d entries are kept, expected those that leave and the pause of 5 minutes", len(table.entries))
+	}
+	table.Retain(map[uint64]bool{4: true, 6: true}, retention)
+	table.Retain(map[uint64]bool{4: true}, time.Minute+retention)
+	if state(6, 0) != Leaving {
+		t.Error("a notice is dropped although the backend server was known again meanwhile")
+	}
+	table.Retain(map[uint64]bool{4: true}, time.Minute+2*retention)
 	if len(table.entries) != 1 || state(4, 0) != Leaving {
 		t.Errorf("%d entries are kept, expected the one that leaves", len(table.entries))
 	}
@@ -174,4 +186,9 @@
 	if len(table.entries) > maxEntries {
 		t.Errorf("%d entries", len(table.entries))
 	}
+	// Strangers make room for backend servers that are known.
+	table.Retain(map[uint64]bool{4: true}, time.Minute)
+	if len(table.entries) != 1 || !table.RecordLeaving(3*maxEntries) {
+		t.Errorf("%d entries are kept in a full table", len(table.entries))
+	}
 }
