gateway: count and log each notice that is ignored, with its reason

A pause with another status than 503, anything in a response 421, and a notice in a response to another request (late on a kept connection, or in place of the expected one) were ignored without a trace.

TestNoticeInAnotherResponseIsIgnored: before, 0 notices are counted where 1 is expected, in all three cases; none was taken before either. It passes now, as do TestNotices, TestIgnoredNoticeIsCounted and internal/exchange.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -92,6 +92,8 @@
 	// Matches reports whether a response with this header belongs to the request.
 	// If it is nil, the first response is accepted.
 	Matches func(http.Header) bool
+	// Skipped, if set, is called with the head of each response that doesn't match.
+	Skipped func(status int, header http.Header)
 	// Dial, if set, makes a new connection for this request only, which isn't kept
 	// afterwards.
 	Dial DialFunc
@@ -355,6 +357,9 @@
 			}
 			return p.newResponse(c, response), nil
 		}
+		if r.Skipped != nil {
+			r.Skipped(response.StatusCode, response.Header)
+		}
 		// This is a late response to an earlier request on the connection.
 		if r.NewConnection || response.ContentLength < 0 && !isChunked(response) {
 			break
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -64,10 +64,11 @@
 	// Leaving is set if the backend server says that it leaves.
 	Leaving bool
 	// Pause is how long the backend server wants no more requests from this gateway, from
-	// the response on; 0 if it states nothing. InvalidNotice is set if it states something
-	// about that, or about leaving, that has no meaning.
-	Pause         time.Duration
-	InvalidNotice bool
+	// the response on; 0 if it states nothing.
+	Pause time.Duration
+	// IgnoredNotice is why something that the response states about leaving or a pause is
+	// ignored, and empty if nothing is.
+	IgnoredNotice string
 	// FailedBackend is the id or address of another backend server that caused
 	// the failure; empty if none is stated.
 	FailedBackend string
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -69,13 +70,12 @@
 // other gateways that the backend server leaves. A pause is for this gateway only, and for
 // the one that made the connection, which the backend server takes for the sender.
 func (g *Gateway) recordNotices(b *fleet.BackendServer, path connPath, requestID string, info ResponseInfo) {
-	if !info.Leaving && info.Pause <= 0 && !info.InvalidNotice {
+	if !info.hasNotice() {
 		return
 	}
 	log := g.log.With(zap.String("backend_server", b.ID), zap.String("request_id", requestID))
-	if info.InvalidNotice {
-		invalidNoticed.Inc()
-		log.Info("ignoring an invalid notice of a backend server")
+	if info.IgnoredNotice != "" {
+		ignoreNotice(log, info.IgnoredNotice)
 	}
 	key := b.Key()
 	if g.addNotices(log, key, info.Leaving, info.Pause, g.now()) {
@@ -86,6 +86,29 @@
 	}
 }
 
+// ignoredOtherRequest is the reason for which a notice is ignored in a response that belongs
+// to another request.
+const ignoredOtherRequest = "the response belongs to another request"
+
+// ignoreNotice records that a notice is ignored, and why.
+func ignoreNotice(log *zap.Logger, reason string) {
+	invalidNoticed.Inc()
+	log.Info("ignoring an invalid notice of a backend server", zap.String("reason", reason))
+}
+
+// skipResponse records a response that belongs to another request: what it says of its
+// backend server may be of another lifetime, or of another backend server.
+func (g *Gateway) skipResponse(b *fleet.BackendServer, status int, h http.Header) {
+	if info := g.dialect.DecodeResponse(status, h); info.hasNotice() {
+		ignoreNotice(g.log.With(zap.String("backend_server", b.ID)), ignoredOtherRequest)
+	}
+}
+
+// hasNotice reports whether a response says something of its backend server.
+func (info ResponseInfo) hasNotice() bool {
+	return info.Leaving || info.Pause > 0 || info.IgnoredNotice != ""
+}
+
 // pauseMs returns a pause in whole ms, rounded up, as other gateways are told.
 func pauseMs(pause time.Duration) uint32 {
 	return uint32((min(pause, notice.MaxPause) + time.Millisecond - 1) / time.Millisecond)
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -126,6 +126,57 @@
 	}
 }
 
+// Guards against a notice that is read from a response to another request: a late copy on a
+// kept connection, or one that comes in place of the expected one. It is counted.
+func TestNoticeInAnotherResponseIsIgnored(t *testing.T) {
+	const said = "HTTP/1.1 503 Service Unavailable\r\nX-Id: another\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\nX-Pause: 9\r\nContent-Length: 0\r\n\r\n"
+	for name, tc := range map[string]struct {
+		path string
+		// own is set if the expected response follows.
+		own        bool
+		wantStatus int
+	}{
+		"late, on a kept connection":    {"/safe/x", true, http.StatusOK},
+		"instead, on a kept connection": {"/safe/x", false, http.StatusBadGateway},
+		"instead, on a new connection":  {"/once/x", false, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			b := s.add("b0", "plain", "a", func(w http.ResponseWriter, r *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_, _ = c.Write([]byte(said))
+				if tc.own {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("X-Id"))
+				}
+			})
+			before := invalidNoticed.Get()
+			s.status(tc.wantStatus, tc.path)
+			if err := s.g.noticeError(b.Key()); err != nil {
+				t.Errorf("the notice is taken: %v", err)
+			}
+			if n := invalidNoticed.Get() - before; n != 1 {
+				t.Errorf("%d notices are counted as ignored, expected 1", n)
+			}
+		})
+	}
+}
+
+// Guards against a notice without a meaning that is ignored without a trace, or that takes
+// the backend server out.
+func TestIgnoredNoticeIsCounted(t *testing.T) {
+	s := newSetup(t)
+	b := s.add("b0", "plain", "a", echo)
+	before := invalidNoticed.Get()
+	s.g.recordNotices(b, connPath{isDirect: true}, "id-1", ResponseInfo{IgnoredNotice: "no reason"})
+	if n := invalidNoticed.Get() - before; n != 1 || s.g.noticeError(b.Key()) != nil {
+		t.Errorf("%d notices are counted as ignored, expected 1; %v", n, s.g.noticeError(b.Key()))
+	}
+}
+
 // Guards against helpers for long prompts that have said that they leave.
 func TestLeavingEnginesAreNoHelpers(t *testing.T) {
 	s := newSetup(t)
--- a/internal/gateway/peerconn.go
+++ b/internal/gateway/peerconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"time"
 
@@ -52,6 +53,7 @@
 func (g *Gateway) send(ctx context.Context, b *fleet.BackendServer, triesItself bool, r exchange.Request) (response *exchange.Response, path connPath, err error) {
 	now := bootclock.Now()
 	r.Address = b.Address
+	r.Skipped = func(status int, h http.Header) { g.skipResponse(b, status, h) }
 	if path.isDirect = g.isolation.usesOwnConnection(now, g.random()); path.isDirect {
 		r.Dialed = func(err error) { g.recordDial(b, now, err) }
 	} else {
