--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -41,6 +41,10 @@
 // read the whole request. Backend servers that do not implement the header run the request.
 const SequenceHeader = "X-Backend-Announcement"
 
+// LeavingHeader, with the value 1 in a response, states that the backend server leaves,
+// whatever its announcements say.
+const LeavingHeader = "X-Backend-Leaving"
+
 const (
 	// Interval is the time between two announcements of one backend server.
 	Interval = 500 * time.Millisecond
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,7 +108,8 @@
 	var buffered *bufferedResponse
 	ran := false
 	r.features = r.crashFeatures()
-	var last error
+	// paused is the pause because of which an attempt was not made, if there is one.
+	var last, paused error
 	for {
 		p, err := g.chooseOrWait(ctx, r)
 		if errors.Is(err, errCallerGone) {
@@ -118,7 +119,7 @@
 			if buffered != nil {
 				return g.forwardResponse(r, buffered)
 			}
-			return g.noBackendError(r, err, ran)
+			return g.noBackendError(r, earlier(paused, err), ran)
 		}
 		a := &attempt{g: g, r: r, pick: p, number: r.attempts + 1, triedBefore: slices.Clone(r.tried), isContinuation: r.status != 0}
 		result := a.run(ctx)
@@ -134,7 +135,7 @@
 		case mayHaveRun:
 			ran = true
 		}
-		last = a.err
+		last, paused = a.err, earlier(paused, a.err)
 		r.tried = append(r.tried, p.backend.ID)
 		if len(r.tried) >= maxBackendsTried || !g.allowRetry(r, a.sent > 0, ran) {
 			break
@@ -246,15 +247,15 @@
 		return quarantine.retryAfter
 	}
 	var paused *pausedError
-	if errors.As(err, &paused) {
-		return max(10*time.Millisecond, min(paused.until-bootclock.Now(), (r.deadline-bootclock.Now())/3))
+	if errors.As(err, &paused) || errors.As(g.allPaused(r), &paused) {
+		return max(10*time.Millisecond, min(paused.until-g.now(), (r.deadline-g.now())/3))
 	}
 	var full *overloadError
 	if errors.As(err, &full) {
 		mean = max(mean, time.Duration(full.untilMs*float64(time.Millisecond)))
 	}
 	d := time.Duration((0.7 + 0.6*g.random()) * float64(mean))
-	return max(10*time.Millisecond, min(d, (r.deadline-bootclock.Now())/3))
+	return max(10*time.Millisecond, min(d, (r.deadline-g.now())/3))
 }
 
 // retryAfterTooLarge is the Retry-After of a request that no backend server can
@@ -292,6 +293,7 @@
 	}
 	// The choice may be older than a notice, as reservations take time.
 	if a.err = g.noticeError(a.pick.job.backend); a.err != nil {
+		noticesRespected.Inc()
 		return notRun
 	}
 	a.sent = bootclock.Now()
@@ -316,7 +318,7 @@
 	g.recordContact(a.pick.backend.FailureDomain)
 	info := g.dialect.DecodeResponse(response.Status, response.Header)
 	a.recordLimit(info)
-	g.recordNotices(a.pick.backend, r.caller.ID, info)
+	g.recordNotices(a.pick.backend, path, r.caller.ID, info)
 	if info.NotRun {
 		return a.handleRefusal(response, info)
 	}
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -27,6 +27,7 @@
 	plain  *plain
 	// announced holds the times of the announcements of this boot.
 	announced announcementTimes
+	pauses    pauseWindow
 }
 
 // routes returns the handler of the port of the instance.
@@ -108,6 +109,10 @@
 		dropConnection(w)
 		return
 	}
+	if b.notices(w, r.injected) {
+		r.kvSource.release()
+		return
+	}
 	r.stream.attach()
 	if b.in.faults.get().Leaving {
 		b.in.stats.AfterLeaving.Add(1)
