gateway: details of work go to two failure domains, summaries to the others

From 128 gateways on, each of the three load shares about a request (new work, first event, end) was sent on at once to all gateways of all failure domains that were used within 20 s. Cause: the failure domains of a load share were those of all recent work, not those whose work had changed, and one that could wait was held back in the own failure domain only. Class: messages whose number grows with requests times gateways.

New work now goes at once to the failure domains of the gateway and of the backend server; first events and ends go to the same in batches, collected in another failure domain by one of four gateways. Without a change a failure domain gets a load share at each interval while work is open there, and for 20 s after. Others read summaries, which are sent after 8 new requests too, and which say what load shares no longer do there: signs of life, who leaves. A batch confirms that the collector lives only if it holds the own load share, as others now send batches as well. Failure domains of fewer than four gateways get summaries directly; they got none.

Alone this makes a herd.

TestRemoteCandidatesAreSampled asks for each engine in exactly one other failure domain instead of in all.

Earlier builds read the messages as before: one field is new (BackendSummary.heard_ms).

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -166,7 +166,7 @@
 		return nil, refused
 	}
 	if isLocalDetail && service.Engine != nil {
-		list = sampleRemote(list, g.settings.FailureDomain)
+		list = sampleRemote(list, g.settings.FailureDomain, g.members.domains())
 	}
 	var p *pick
 	var err error
@@ -181,10 +181,8 @@
 	p.candidates = len(list)
 	g.takePermit(p.job.backend, now)
 	g.workTable.add(p.job)
-	g.workTable.usedDomains[p.backend.FailureDomain] = now
-	for i, h := range p.helperJobs {
+	for _, h := range p.helperJobs {
 		g.workTable.add(h)
-		g.workTable.usedDomains[p.helpers[i].FailureDomain] = now
 	}
 	if now < p.backend.ColdUntil {
 		g.workTable.coldSends[p.job.backend] = append(g.workTable.coldSends[p.job.backend], now)
@@ -234,7 +232,7 @@
 	c := list[best]
 	return &pick{
 		backend: c.server, open: openRequests(c.works),
-		job: &job{backend: c.key, sent: now, work: enginemodel.Work{SentMs: ms(now)}},
+		job: &job{backend: c.key, domain: c.server.FailureDomain, sent: now, work: enginemodel.Work{SentMs: ms(now)}},
 	}, nil
 }
 
@@ -280,7 +278,7 @@
 	work.HeldTokens = choice.HeldTokens * float64(choice.Holders)
 	p := &pick{
 		backend: first.server, predictedMs: choice.FirstEventMs, open: openRequests(first.works), slowness: first.condition.slowness,
-		job: &job{backend: first.key, sent: now, work: work},
+		job: &job{backend: first.key, domain: first.server.FailureDomain, sent: now, work: work},
 	}
 	work.Helper = true
 	for n, i := range choice.Helpers {
@@ -292,7 +290,7 @@
 			})
 		}
 		p.helpers = append(p.helpers, list[i].server)
-		p.helperJobs = append(p.helperJobs, &job{backend: list[i].key, sent: now, work: work})
+		p.helperJobs = append(p.helperJobs, &job{backend: list[i].key, domain: list[i].server.FailureDomain, sent: now, work: work})
 	}
 	return p, nil
 }
--- a/internal/gateway/datagrams_test.go
+++ b/internal/gateway/datagrams_test.go
@@ -21,6 +21,11 @@
 type datagramNet struct {
 	t     *testing.T
 	infos []*wirepb.GatewayInfo
+	// engines are known to all gateways that are created later.
+	engines []fleet.BackendServer
+	// deliversAll is set if all datagrams are delivered, not only those that their
+	// receiver sends on.
+	deliversAll bool
 
 	mu       sync.Mutex
 	count    int
@@ -56,17 +61,20 @@
 	for _, other := range n.infos {
 		g.members.recordGateway(other, bootclock.Now())
 	}
+	for _, e := range n.engines {
+		g.members.table.Merge(e)
+	}
 	n.gateways[at] = g
 	n.t.Cleanup(g.cancel)
 	return g
 }
 
-// send counts a datagram. Only those that their receiver sends on are delivered.
+// send counts and delivers a datagram.
 func (n *datagramNet) send(data []byte, to netip.AddrPort) error {
 	n.mu.Lock()
 	n.count++
 	n.mu.Unlock()
-	if s := decodeShare(n.t, data); s.GetRelay() {
+	if n.deliversAll || decodeShare(n.t, data).GetRelay() {
 		n.gateway(to).receiveDatagram(data)
 	}
 	return nil
@@ -88,7 +96,7 @@
 	g.members.table.Merge(engine)
 	n.take()
 	for i := range requests {
-		j := &job{backend: engine.Key(), sent: bootclock.Now(), work: enginemodel.Work{Request: uint64(i), PromptTokens: 100, PartTokens: 100}}
+		j := &job{backend: engine.Key(), domain: domain, sent: bootclock.Now(), work: enginemodel.Work{Request: uint64(i), PromptTokens: 100, PartTokens: 100}}
 		g.workTable.mu.Lock()
 		g.workTable.add(j)
 		g.workTable.mu.Unlock()
@@ -123,7 +131,7 @@
 				// Work was sent to all failure domains some time ago.
 				g.workTable.mu.Lock()
 				for d := range domains {
-					g.workTable.usedDomains[fmt.Sprint("domain-", d)] = bootclock.Now()
+					g.workTable.usedDomains[fmt.Sprint("domain-", d)] = &domainUse{usedAt: bootclock.Now(), sharedAt: bootclock.Now()}
 				}
 				g.workTable.mu.Unlock()
 				perDomain := gateways / domains
@@ -133,7 +141,9 @@
 				if gateways >= localDetailGateways {
 					limit = 3*2*perDomain + 20
 				}
-				if count := n.playRequests(g, engines, requests); count > limit || count < perDomain {
+				count := n.playRequests(g, engines, requests)
+				t.Logf("%d datagrams for a request", count)
+				if count > limit || count < perDomain {
 					t.Errorf("%d datagrams for a request, expected %d at most and %d at least", count, limit, perDomain)
 				}
 			})
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/binary"
 	"math/rand/v2"
@@ -53,7 +52,9 @@
 	gateways map[string]*gatewayEntry
 	states   map[string]*stateEntry
 	// sorted caches the backend servers by id; it is nil after a change of the table.
+	// own caches the keys of those of this failure domain in sorted.
 	sorted []*fleet.BackendServer
+	own    map[uint64]bool
 	// version counts the changes of the table.
 	version uint64
 }
@@ -291,10 +292,47 @@
 func (m *members) backends() (servers []*fleet.BackendServer, gateways int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.sortedLocked(), len(m.gateways) + 1
+}
+
+// sortedLocked returns the backend servers, sorted by id. The caller holds the mutex.
+func (m *members) sortedLocked() []*fleet.BackendServer {
 	if m.sorted == nil {
-		m.sorted = m.table.All()
+		m.sorted, m.own = m.table.All(), nil
+	}
+	return m.sorted
+}
+
+// ownBackends returns the keys of the backend servers of this failure domain. The caller
+// must not change the map.
+func (m *members) ownBackends() map[uint64]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	servers := m.sortedLocked()
+	if m.own == nil {
+		m.own = map[uint64]bool{}
+		for _, b := range servers {
+			if b.FailureDomain == m.g.settings.FailureDomain {
+				m.own[b.Key()] = true
+			}
+		}
 	}
-	return m.sorted, len(m.gateways) + 1
+	return m.own
+}
+
+// domains returns the failure domains of the known gateways, with that of this one.
+func (m *members) domains() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []string{m.g.settings.FailureDomain}
+	seen := map[string]bool{m.g.settings.FailureDomain: true}
+	for _, entry := range m.gateways {
+		if d := entry.info.GetFailureDomain(); !seen[d] {
+			seen[d] = true
+			out = append(out, d)
+		}
+	}
+	return out
 }
 
 // backend returns the backend server with an id, or nil.
@@ -331,20 +369,16 @@
 
 // shareTargets returns the datagram addresses of the gateways that a load share is sent
 // to directly, and of those that relay it. For each load share another gateway of a
-// failure domain relays, so that one that is lost costs a few of them only. used, if not
-// nil, limits the other failure domains, and leaves out the gateways of the own failure
-// domain that relay: they get batches.
-func (m *members) shareTargets(used map[string]bool) (direct, relays []netip.AddrPort) {
+// failure domain relays, so that one that is lost costs a few of them only.
+func (m *members) shareTargets() (direct, relays []netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	remote := map[string][]netip.AddrPort{}
 	for _, entry := range m.gateways {
 		domain := entry.info.GetFailureDomain()
-		isLocal := domain == m.g.settings.FailureDomain
 		switch {
-		case !entry.address.IsValid() || (used != nil && !isLocal && !used[domain]):
-		case used != nil && isLocal && entry.info.GetRelays():
-		case isLocal || !entry.info.GetRelays():
+		case !entry.address.IsValid():
+		case domain == m.g.settings.FailureDomain || !entry.info.GetRelays():
 			direct = append(direct, entry.address)
 		default:
 			remote[domain] = append(remote[domain], entry.address)
@@ -366,17 +400,13 @@
 func (m *members) batcher(skip int) netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	type ranked struct {
-		hash    uint64
-		address netip.AddrPort
-	}
-	order := []ranked{{hash: xxhash.Sum64String(m.g.settings.ID)}}
+	order := []rankedAddress{{hash: xxhash.Sum64String(m.g.settings.ID)}}
 	for id, entry := range m.gateways {
 		if entry.info.GetFailureDomain() == m.g.settings.FailureDomain && entry.info.GetRelays() && entry.address.IsValid() {
-			order = append(order, ranked{xxhash.Sum64String(id), entry.address})
+			order = append(order, rankedAddress{xxhash.Sum64String(id), entry.address})
 		}
 	}
-	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	slices.SortFunc(order, rankedAddress.compare)
 	return order[skip%len(order)].address
 }
 
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -94,32 +94,43 @@
 	return max(minShareInterval, time.Duration(g.members.count())*shareIntervalPerGateway)
 }
 
-// sendShare sends the load share of this gateway to the other gateways, or to those of
-// its own failure domain and of the failure domains that its work uses; see
-// localDetailGateways. There, a load share without new work goes to one gateway of the
-// failure domain, which sends it on in a batch. New work is sent at once: in a burst, all
-// gateways would choose the same engine before they learn of each other's choices.
+// sendShare sends the load share of this gateway to the other gateways, or to those that
+// need the details of its work; see localDetailGateways.
 func (g *Gateway) sendShare(sequence uint64, isNew bool) {
-	s := g.share(sequence)
-	if !g.members.isLocalDetail() {
-		direct, relays := g.members.shareTargets(nil)
-		g.sendShareTo(s, direct)
-		s.Relay = true
-		g.sendShareTo(s, relays)
+	if g.members.isLocalDetail() {
+		g.sendDetails(sequence, isNew)
 		return
 	}
+	s := g.share(sequence)
+	direct, relays := g.members.shareTargets()
+	g.sendShareTo(s, direct)
+	s.Relay = true
+	g.sendShareTo(s, relays)
+}
+
+// sendDetails sends the load share of this gateway to those of its own failure domain and
+// of the failure domains where its work has changed. New work is sent at once: in a
+// burst, all gateways there would choose the same engine before they learn of each
+// other's choices. A load share without new work goes to one gateway of a failure domain,
+// which sends it on in a batch.
+func (g *Gateway) sendDetails(sequence uint64, isNew bool) {
 	now := bootclock.Now()
-	direct, relays := g.members.shareTargets(g.workTable.usedDomainsNow(now))
+	// Before the load share is made: what changes in between is sent again.
+	changed := g.workTable.takeChangedDomains(now, g.shareInterval())
+	changed.used[g.settings.FailureDomain] = true
+	targets := g.members.detailTargets(changed)
+	s := g.share(sequence)
 	if isNew {
-		g.sendShareTo(s, append(direct, g.members.domainAddresses()...))
-		s.Relay = true
-		g.sendShareTo(s, relays)
-		return
+		targets.direct = append(targets.direct, g.members.domainAddresses()...)
 	}
-	g.sendShareTo(s, direct)
+	g.sendShareTo(s, targets.direct)
 	s.Relay = true
-	g.sendShareTo(s, relays)
+	g.sendShareTo(s, targets.relays)
 	s.Later = true
+	g.sendShareTo(s, targets.batchers)
+	if isNew {
+		return
+	}
 	if batcher := g.members.batcher(g.batch.skipBatchers(now)); batcher.IsValid() {
 		g.sendShareTo(s, []netip.AddrPort{batcher})
 	} else {
@@ -133,7 +144,7 @@
 		return // before Start
 	}
 	s.Gateway, s.Incarnation = g.settings.ID, g.incarnation
-	direct, relays := g.members.shareTargets(nil)
+	direct, relays := g.members.shareTargets()
 	g.sendShareTo(s, direct)
 	s.Relay = true
 	g.sendShareTo(s, relays)
@@ -177,8 +188,8 @@
 	mu     sync.Mutex
 	shares map[string]*wirepb.LoadShare
 	// skip is the number of gateways that are skipped in the order of those that
-	// collect. sentAt is when a load share was last sent to one, and receivedAt when a
-	// batch last arrived.
+	// collect. sentAt is when a load share was last sent to one, and receivedAt when one
+	// last came back in a batch.
 	skip               int
 	sentAt, receivedAt time.Duration
 }
@@ -201,7 +212,7 @@
 	return b.skip
 }
 
-// recordBatch records that a batch has arrived.
+// recordBatch records that a batch with a load share of this gateway has arrived.
 func (b *shareBatch) recordBatch(now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -341,11 +352,13 @@
 		sharesReceived.Inc()
 		g.mergeShare(s)
 	}
-	if len(s.GetBatch()) > 0 {
-		g.batch.recordBatch(bootclock.Now())
-	}
 	for _, part := range s.GetBatch() {
-		if part.GetGateway() != "" && part.GetGateway() != g.settings.ID {
+		switch part.GetGateway() {
+		case "":
+		case g.settings.ID:
+			// Batches without it come from gateways that collect for other failure domains.
+			g.batch.recordBatch(bootclock.Now())
+		default:
 			sharesReceived.Inc()
 			g.mergeCrashEvidence(part.GetCrashEvidence())
 			g.mergeLimits(part.GetRequestLimits())
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"hash/maphash"
 	"math/rand/v2"
 	"time"
@@ -25,15 +26,19 @@
 	// a lost one is missed by half of the summaries only.
 	summaryInterval = time.Second
 	summarySenders  = 2
+	// summaryRequests is the number of new requests and parts of prompts at the backend
+	// servers of the failure domain after which a sender doesn't wait for the interval, so
+	// that the others don't choose on a summary that misses many of them.
+	summaryRequests = 8
 	// summaryLifetime is how long a summary is used without a newer one.
 	summaryLifetime = 3 * summaryInterval
 	// summaryDelay is the longest time that work is on its way into a summary. Work of
 	// this failure domain that is younger than a summary by less is counted beside it.
 	summaryDelay = 100 * time.Millisecond
 	// remoteSample is the number of backend servers of each other failure domain that
-	// are candidates for one request, chosen at random so that the gateways don't all
-	// choose the same one on the same summary. remoteSampleAlone replaces it if fewer
-	// than minLocalBackends of this failure domain can be chosen.
+	// are candidates for one request, chosen at random among those that are allotted to
+	// this failure domain. remoteSampleAlone replaces it if fewer than minLocalBackends of
+	// this failure domain can be chosen; all are candidates then.
 	remoteSample      = 3
 	remoteSampleAlone = 8
 	minLocalBackends  = 8
@@ -60,21 +65,66 @@
 // sendSummaries sends summaries of the work in this failure domain to the others, if it
 // is this gateway's turn, until ctx ends.
 func (g *Gateway) sendSummaries(ctx context.Context) {
+	due := time.NewTimer(summaryInterval)
+	defer due.Stop()
+	var sentAt time.Duration
 	for sequence := uint64(1); ; sequence++ {
-		if !sleep(ctx, time.Duration((1-shareJitter*g.random())*float64(summaryInterval))) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-due.C:
+		case <-g.workTable.received:
+			// What comes together is summarized together.
+			if !sleep(ctx, batchDelay) {
+				return
+			}
+			if g.newRequestsSince(sentAt) < summaryRequests {
+				continue
+			}
 		}
-		if !g.members.isLocalDetail() || !g.members.isSummarySender() {
-			continue
+		due.Reset(time.Duration((1 - shareJitter*g.random()) * float64(summaryInterval)))
+		isSender := g.members.isLocalDetail() && g.members.isSummarySender()
+		g.workTable.signalReceived(isSender)
+		if isSender {
+			sentAt = bootclock.Now()
+			g.sendSummary(g.summary(sequence), sentAt)
+		}
+	}
+}
+
+// newRequestsSince returns the number of requests and parts of prompts that were sent to
+// backend servers of this failure domain after a time and still run.
+func (g *Gateway) newRequestsSince(at time.Duration) int {
+	servers := g.members.ownBackends()
+	g.workTable.mu.Lock()
+	defer g.workTable.mu.Unlock()
+	n := 0
+	for j := range g.workTable.local {
+		if j.sent > at && servers[j.backend] {
+			n++
+		}
+	}
+	for _, s := range g.workTable.others {
+		for i := range s.jobs {
+			if s.jobs[i].sent > at && servers[s.jobs[i].backend] {
+				n++
+			}
 		}
-		_, relays := g.members.shareTargets(nil)
-		now := bootclock.Now()
-		g.sendShareTo(&wirepb.LoadShare{
-			Relay: true, Summary: g.summary(sequence),
-			CrashEvidence: g.suspects.evidenceMessage(now), RequestLimits: g.limits.message(now),
-		}, relays)
-		summariesSent.Inc()
 	}
+	return n
+}
+
+// sendSummary sends a summary to the other failure domains, with what their gateways
+// would else learn of load shares that don't reach them.
+func (g *Gateway) sendSummary(s *wirepb.LoadSummary, now time.Duration) {
+	direct, relays := g.members.summaryTargets()
+	m := &wirepb.LoadShare{
+		Summary: s, CrashEvidence: g.suspects.evidenceMessage(now), RequestLimits: g.limits.message(now), Leaving: g.notices.leaving(),
+	}
+	g.sendShareTo(m, direct)
+	m.Relay = true
+	g.sendShareTo(m, relays)
+	summariesSent.Inc()
 }
 
 // summary returns a summary of the work at the backend servers of this failure domain.
@@ -87,7 +137,11 @@
 	out := &wirepb.LoadSummary{FailureDomain: g.settings.FailureDomain, Incarnation: g.incarnation, Sequence: sequence}
 	for _, b := range servers {
 		if b.FailureDomain == g.settings.FailureDomain && len(works[b.Key()]) > 0 {
-			out.Backends = append(out.Backends, summarize(b.Key(), works[b.Key()], ms(now)))
+			s := summarize(b.Key(), works[b.Key()], ms(now))
+			if at := g.health.lastReceived(b.Key()); at > 0 {
+				s.HeardMs = ageMs(now, at) + 1
+			}
+			out.Backends = append(out.Backends, s)
 		}
 	}
 	return out
@@ -188,6 +242,9 @@
 	received := &summary{incarnation: s.GetIncarnation(), sequence: s.GetSequence(), at: now, backends: map[uint64]*wirepb.BackendSummary{}}
 	for _, b := range s.GetBackends() {
 		received.backends[b.GetBackend()] = b
+		if heard := b.GetHeardMs(); heard > 0 {
+			g.health.recordReceived(b.GetBackend(), now-milliseconds(int64(heard-1)))
+		}
 	}
 	t := g.workTable
 	t.mu.Lock()
@@ -219,28 +276,60 @@
 }
 
 // sampleRemote returns the candidates of this failure domain and a random sample of
-// those of each other one, in an order of its own.
-func sampleRemote(list []candidate, local string) []candidate {
+// those of each other one that are allotted to this one, in an order of its own. domains
+// are all failure domains.
+func sampleRemote(list []candidate, local string, domains []string) []candidate {
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	inDomain := map[string]int{}
 	for _, c := range list {
 		inDomain[c.server.FailureDomain]++
 	}
-	limit := remoteSample
-	if inDomain[local] < minLocalBackends {
+	limit, isAlone := remoteSample, inDomain[local] < minLocalBackends
+	if isAlone {
 		limit = remoteSampleAlone
 	}
+	hashes := make([]uint64, 0, len(domains))
+	for _, d := range domains {
+		hashes = append(hashes, xxhash.Sum64String(d))
+	}
+	localHash := xxhash.Sum64String(local)
 	out := make([]candidate, 0, len(list))
 	clear(inDomain)
 	for _, c := range list {
 		domain := c.server.FailureDomain
-		if inDomain[domain]++; domain == local || inDomain[domain] <= limit {
-			out = append(out, c)
+		switch {
+		case domain == local:
+		case !isAlone && !isAllotted(c.key, xxhash.Sum64String(domain), localHash, hashes):
+			continue
+		default:
+			if inDomain[domain]++; inDomain[domain] > limit {
+				continue
+			}
 		}
+		out = append(out, c)
 	}
 	return out
 }
 
+// isAllotted reports whether a backend server of one failure domain is allotted to
+// another one: it is first in an order of all but its own that differs from one backend
+// server to the next. Only the gateways of these two choose it, and those know of each
+// other's choices at once, or with the next summary; with all, several failure domains
+// would choose it on the same summary. Failure domains are given by their hashes.
+func isAllotted(backend, own, other uint64, all []uint64) bool {
+	position := func(domain uint64) uint64 {
+		data := binary.LittleEndian.AppendUint64(make([]byte, 0, 16), domain)
+		return xxhash.Sum64(binary.LittleEndian.AppendUint64(data, backend))
+	}
+	self := position(other)
+	for _, domain := range all {
+		if domain != own && position(domain) < self {
+			return false
+		}
+	}
+	return true
+}
+
 // isLocalDetail reports whether load shares stay within the failure domain.
 func (m *members) isLocalDetail() bool { return m.count() >= localDetailGateways }
 
--- a/internal/gateway/summary_test.go
+++ b/internal/gateway/summary_test.go
@@ -106,8 +106,9 @@
 }
 
 // TestRemoteCandidatesAreSampled guards against a herd: gateways that all choose on the
-// same summary must not all find the same engine of another failure domain best, and a
-// failure domain without engines of its own must find enough of them elsewhere.
+// same summary must not all find the same engine of another failure domain best, each
+// engine must be a candidate in one other failure domain, and a failure domain without
+// engines of its own must find enough of them elsewhere.
 func TestRemoteCandidatesAreSampled(t *testing.T) {
 	s := newSetup(t)
 	var list []candidate
@@ -117,26 +118,32 @@
 			list = append(list, candidate{server: b, key: b.Key()})
 		}
 	}
-	seen := map[string]int{}
-	for range 200 {
-		local, remote := 0, 0
-		for _, c := range sampleRemote(list, "a") {
-			if c.server.FailureDomain == "a" {
-				local++
-				continue
+	domains := []string{"a", "b", "c"}
+	seenIn := map[string]string{}
+	for _, domain := range domains {
+		for range 200 {
+			local, remote := 0, 0
+			for _, c := range sampleRemote(list, domain, domains) {
+				if c.server.FailureDomain == domain {
+					local++
+					continue
+				}
+				remote++
+				if other := seenIn[c.server.ID]; other != "" && other != domain {
+					t.Fatalf("%s is a candidate in %s and in %s", c.server.ID, domain, other)
+				}
+				seenIn[c.server.ID] = domain
+			}
+			if local != 20 || remote != 2*remoteSample {
+				t.Fatalf("%d local and %d remote candidates", local, remote)
 			}
-			remote++
-			seen[c.server.ID]++
-		}
-		if local != 20 || remote != 2*remoteSample {
-			t.Fatalf("%d local and %d remote candidates", local, remote)
 		}
 	}
-	if len(seen) != 40 {
-		t.Errorf("%d of 40 remote engines were ever candidates", len(seen))
+	if len(seenIn) != 60 {
+		t.Errorf("%d of 60 engines were ever candidates in another failure domain", len(seenIn))
 	}
 	elsewhere := slices.DeleteFunc(list, func(c candidate) bool { return c.server.FailureDomain == "a" })
-	if n := len(sampleRemote(elsewhere, "a")); n != 2*remoteSampleAlone {
+	if n := len(sampleRemote(elsewhere, "a", domains)); n != 2*remoteSampleAlone {
 		t.Errorf("%d candidates without any in the own failure domain", n)
 	}
 }
--- a/internal/gateway/worktable.go
+++ b/internal/gateway/worktable.go
@@ -13,8 +13,11 @@
 // backend server prefills.
 type job struct {
 	backend uint64
-	sent    time.Duration
-	work    enginemodel.Work
+	// domain is the failure domain of the backend server. It is set for work of this
+	// gateway only.
+	domain string
+	sent   time.Duration
+	work   enginemodel.Work
 }
 
 // workTable holds the work at all backend servers: that of this gateway, and
@@ -28,12 +31,17 @@
 	others map[string]*share
 	// summaries holds the latest summary of each other failure domain.
 	summaries map[string]*summary
-	// usedDomains holds when work was last sent to each failure domain.
-	usedDomains map[string]time.Duration
+	// usedDomains holds what each failure domain was told of the work of this gateway
+	// there.
+	usedDomains map[string]*domainUse
 	// added is signaled when local work was added or a load share is due at once, progressed when some of it
 	// had its first event or ended. The other gateways may receive progress a
 	// little later.
 	added, progressed chan struct{}
+	// received is signaled when a load share with work was received or local work was
+	// added, if signalsReceived is set.
+	received        chan struct{}
+	signalsReceived bool
 	// endedWork holds ended work by backend server, for as long as it is
 	// needed to estimate how far other work has come.
 	endedWork map[uint64][]enginemodel.Work
@@ -81,31 +89,27 @@
 func newWorkTable() *workTable {
 	return &workTable{
 		local: map[*job]struct{}{}, others: map[string]*share{},
-		added: make(chan struct{}, 1), progressed: make(chan struct{}, 1),
+		added: make(chan struct{}, 1), progressed: make(chan struct{}, 1), received: make(chan struct{}, 1),
 		coldSends: map[uint64][]time.Duration{}, endedWork: map[uint64][]enginemodel.Work{},
-		summaries: map[string]*summary{}, usedDomains: map[string]time.Duration{},
+		summaries: map[string]*summary{}, usedDomains: map[string]*domainUse{},
 	}
 }
 
-// usedDomainsNow returns the failure domains to which work was sent recently.
-func (b *workTable) usedDomainsNow(now time.Duration) map[string]bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	used := map[string]bool{}
-	for domain, at := range b.usedDomains {
-		if now-at > usedDomainRetention {
-			delete(b.usedDomains, domain)
-			continue
-		}
-		used[domain] = true
-	}
-	return used
-}
-
 // add adds work of this gateway. The caller holds the lock.
 func (b *workTable) add(j *job) {
 	b.local[j] = struct{}{}
+	b.useDomain(j.domain, bootclock.Now()).hasNewWork = true
 	signal(b.added)
+	if b.signalsReceived {
+		signal(b.received)
+	}
+}
+
+// signalReceived sets whether load shares with work signal received.
+func (b *workTable) signalReceived(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.signalsReceived = on
 }
 
 // remove ends work of this gateway.
@@ -124,6 +128,7 @@
 func (b *workTable) end(j *job, now time.Duration) {
 	if _, ok := b.local[j]; ok {
 		delete(b.local, j)
+		b.useDomain(j.domain, now).hasProgress = true
 		b.keepEnded(*j, now)
 	}
 }
@@ -156,6 +161,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	j.work.Decoding, j.work.DoneMs = true, ms(now)
+	b.useDomain(j.domain, now).hasProgress = true
 	for _, h := range helpers {
 		b.end(h, now)
 	}
@@ -237,6 +243,9 @@
 		}
 	}
 	b.others[id] = latest
+	if b.signalsReceived && len(latest.jobs) > 0 {
+		signal(b.received)
+	}
 }
 
 // coldWindow is the time window of the request limit of cold backend servers.
