gateway: an isolated gateway tells all failure domains

From 128 gateways on, a gateway that lost its own paths, or has them again, told its own failure domain at once, and the others with the next load share there. But any gateway may ask it to connect, those of other failure domains as well. Cause: the sign travelled with load shares, which no longer go to all. It is now sent to all at once, as crashes and limits are.

TestIsolationIsKnownEverywhere, 130 gateways: with a message that doesn't state it, the sign is missing or lifted at 258 checks; passes now.

--- a/internal/gateway/detail_test.go
+++ b/internal/gateway/detail_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/enginemodel"
 	"bilberryhub/internal/fleet"
@@ -111,6 +113,43 @@
 	expect("end", nil)
 }
 
+// Guards against gateways that ask an isolated one of another failure domain to connect:
+// load shares of the isolated gateway don't reach them, and messages without work must
+// not count as a sign that it can connect again.
+func TestIsolationIsKnownEverywhere(t *testing.T) {
+	const domains, gateways = 5, 130
+	n := newDatagramNet(t, gateways, domains)
+	n.deliversAll = true
+	n.addEngines(domains, 2)
+	all := n.all()
+	isolated := all["domain-0"][3]
+	expect := func(step string, want bool) {
+		t.Helper()
+		for domain, list := range all {
+			for _, g := range list {
+				if g == isolated {
+					continue
+				}
+				g.members.mu.Lock()
+				if got := g.members.gateways[isolated.settings.ID].isolated; got != want {
+					t.Errorf("%s: isolated is %t at %s in %s", step, got, g.settings.ID, domain)
+				}
+				g.members.mu.Unlock()
+			}
+		}
+	}
+	for i := range 2 {
+		isolated.recordDial(&n.engines[i*3], bootclock.Now(), errors.New("connection refused"))
+	}
+	expect("isolated", true)
+	isolated.sendToAll(&wirepb.LoadShare{Leaving: []uint64{1}})
+	expect("message without work", true)
+	for i := range 2 {
+		isolated.recordDial(&n.engines[i*3], bootclock.Now(), nil)
+	}
+	expect("connected again", false)
+}
+
 // Guards against load shares that stop, or never stop, for a failure domain in which work
 // was sent: its gateways would count work that has ended, or not count work that runs.
 func TestUsedDomainsGetLoadShares(t *testing.T) {
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -15,6 +15,7 @@
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/reach"
+	"bilberryhub/internal/wirepb"
 )
 
 const (
@@ -113,7 +114,7 @@
 	case isolated:
 		g.beginIsolation(since, b, err)
 	case restored:
-		signal(g.workTable.added)
+		g.shareIsolation()
 		g.log.Info("backend servers can be connected to again", zap.Duration("isolated", now-since), zap.String("backend_server", b.ID))
 	}
 }
@@ -143,8 +144,7 @@
 		g.exchanges.Drop(server.Address)
 	}
 	moved := g.moveSilentAttempts(since)
-	// The other gateways must not ask this one to connect.
-	signal(g.workTable.added)
+	g.shareIsolation()
 	g.log.Warn("no backend server can be connected to; other gateways connect", zap.String("backend_server", b.ID),
 		observe.Error(err), zap.Duration("since", bootclock.Now()-since), zap.Int("attempts_moved", moved))
 }
@@ -260,3 +260,13 @@
 		g.recordDial(b, bootclock.Now(), nil)
 	}
 }
+
+// shareIsolation tells the gateways of all failure domains whether this one is isolated:
+// those anywhere may ask it to connect.
+func (g *Gateway) shareIsolation() {
+	if g.members.isLocalDetail() {
+		g.sendToAll(&wirepb.LoadShare{})
+		return
+	}
+	signal(g.workTable.added)
+}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -140,10 +140,7 @@
 
 // sendToAll sends a message without work to the gateways of all failure domains at once.
 func (g *Gateway) sendToAll(s *wirepb.LoadShare) {
-	if g.udp == nil {
-		return // before Start
-	}
-	s.Gateway, s.Incarnation = g.settings.ID, g.incarnation
+	s.Gateway, s.Incarnation, s.Isolated = g.settings.ID, g.incarnation, g.isolation.isIsolated()
 	direct, relays := g.members.shareTargets()
 	g.sendShareTo(s, direct)
 	s.Relay = true
