--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -454,3 +454,27 @@
 		t.Fatalf("stream %q, error %v", body, err)
 	}
 }
+
+// Guards against a stream that is lost because all backend servers are silent for a while:
+// its own one is given up for another one, which then refuses the request.
+func TestSilentStreamIsKeptUntilAnotherServerContinuesIt(t *testing.T) {
+	s := newSetup(t)
+	var isSecond atomic.Bool
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if isSecond.Swap(true) {
+			echo(w, r)
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		echo(w, r)
+		sendEvents(w, 1, 2)
+		time.Sleep(1800 * time.Millisecond)
+		sendEvents(w, 3, 4)
+	}
+	s.add("s1", "model", "a", handler)
+	s.add("s2", "model", "a", handler)
+	if _, body, err := s.call("/stream/x", "X-Prompt", "100"); err != nil || body != events(1, 4) {
+		t.Fatalf("stream %q, error %v", body, err)
+	}
+}
