gateway: a silent stream isn't given up for a backend server that is silent as well

In a pause of all backend servers of a service, callers lost streams that their own backend server went on with (LOST): after 1.5 s of silence, three quarters of the time after which the caller leaves, the connection was closed and another backend server asked, which was silent too, or refused.

Now a silent stream is given up only for a backend server that has given a sign of life since the stream fell silent, a response or an announcement, here or at another gateway. Where connections fail, so that a path is lost, no sign is asked for.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -484,7 +484,33 @@
 }
 
 // Guards against a stream that is lost because all backend servers are silent for a while:
-// its own one is given up for another one, which then refuses the request.
+// its own one is given up for another one, which is silent as well.
+func TestSilentStreamIsKeptWhileAllServersAreSilent(t *testing.T) {
+	s := newSetup(t)
+	silence := make(chan struct{})
+	time.AfterFunc(2*time.Second, func() { close(silence) })
+	var runs atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		if runs.Add(1) > 1 {
+			<-silence
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		sendEvents(w, 1, 2)
+		<-silence
+		sendEvents(w, 3, 4)
+	}
+	s.add("s1", "model", "a", handler)
+	s.add("s2", "model", "a", handler)
+	if _, body, err := s.call("/stream/x", "X-Prompt", "100"); err != nil || body != events(1, 4) {
+		t.Fatalf("stream %q, error %v", body, err)
+	}
+}
+
+// Guards against a stream that is lost because its backend server, which is silent for a
+// while, is given up for another one that is alive and refuses the request.
 func TestSilentStreamIsKeptUntilAnotherServerContinuesIt(t *testing.T) {
 	s := newSetup(t)
 	var isSecond atomic.Bool
@@ -497,6 +523,9 @@
 		}
 		echo(w, r)
 		sendEvents(w, 1, 2)
+		for _, b := range []string{"s1", "s2"} {
+			s.g.health.recordReceived(s.g.members.backend(b).Key(), bootclock.Now()+200*time.Millisecond)
+		}
 		time.Sleep(1800 * time.Millisecond)
 		sendEvents(w, 3, 4)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -92,7 +92,7 @@
 	switch {
 	case !a.mayRetry(now):
 		return time.Hour
-	case !a.canBeContinued(now), now-a.g.health.lastReceived(a.pick.job.backend) < aliveWindow:
+	case !a.canBeContinued(now, a.lastSign()), now-a.g.health.lastReceived(a.pick.job.backend) < aliveWindow:
 		return aliveWindow / 2
 	}
 	return 0
@@ -101,7 +101,7 @@
 // canFailOver reports whether another backend server may continue the request. Other
 // goroutines call it too.
 func (a *attempt) canFailOver(now time.Duration) bool {
-	return a.mayRetry(now) && a.canBeContinued(now)
+	return a.mayRetry(now) && a.canBeContinued(now, 0)
 }
 
 // mayRetry reports whether the request may be sent to another backend server.
@@ -109,14 +109,22 @@
 	return a.g.canRetry(a.r, a.number+1, true) && a.g.budget.allows(a.r.service.Name, a.g.members.count(), now)
 }
 
+// lastSign returns when something was last received, or when the request was sent.
+func (a *attempt) lastSign() time.Duration {
+	return max(a.pick.job.sent, time.Duration(a.receivedAt.Load()))
+}
+
 // canBeContinued reports whether the caller loses nothing if the attempt is canceled: a
-// response that has begun is lost unless another backend server can continue it.
-func (a *attempt) canBeContinued(now time.Duration) bool {
-	return !a.isContinuation && !a.firstEventSeen.Load() || a.hasAlternative(now)
+// response that has begun is lost unless another backend server can continue it. heardSince
+// is as in hasAlternative.
+func (a *attempt) canBeContinued(now, heardSince time.Duration) bool {
+	return !a.isContinuation && !a.firstEventSeen.Load() || a.hasAlternative(now, heardSince)
 }
 
-// hasAlternative reports whether a backend server that wasn't tried is in service.
-func (a *attempt) hasAlternative(now time.Duration) bool {
+// hasAlternative reports whether a backend server that wasn't tried is in service and has given
+// a sign of life after heardSince: if all of them are silent for a while, the one that the
+// attempt waits for may be the first to go on.
+func (a *attempt) hasAlternative(now, heardSince time.Duration) bool {
 	servers, _ := a.g.members.backends()
 	v := a.g.sync.Current()
 	return slices.ContainsFunc(servers, func(b *fleet.BackendServer) bool {
@@ -126,6 +134,9 @@
 		if out, _ := v.Excluded(b.FailureDomain, b.ID); out {
 			return false
 		}
+		if max(b.SeenAt, a.g.health.lastReceived(b.Key())) < heardSince {
+			return false
+		}
 		return a.g.noticeError(b.Key()) == nil && !a.g.health.condition(b, b.Key(), now, time.Hour).dead
 	})
 }
