gateway: the dump names backend servers with a notice; log what others tell

The state dump listed notices by a hash that it doesn't explain, and a gateway logged nothing when it took over from another one that a backend server leaves. The dump now has the id, and the change is logged once.

Tests of notices, load shares and isolation of internal/gateway pass with the race detector.

--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -26,6 +26,6 @@
 		"ready": g.notReadyReason() == "", "open_requests": g.open.Load(), "gateways": gateways,
 		"backend_servers": servers, "jobs": jobs, "config": g.sync.Status(), "suspects": g.suspects.list(),
 		"request_limits": g.limits.list(), "isolated": g.isolation.isIsolated(), "connections_for_peers": g.connects.Open(),
-		"notices": g.notices.list(now),
+		"notices": g.notices.list(servers, now),
 	}, nil
 }
--- a/internal/gateway/identity_test.go
+++ b/internal/gateway/identity_test.go
@@ -35,6 +35,10 @@
 	first := s.add("first", "plain", "a", says(&received, false, 0))
 	s.told(first)
 	s.status(http.StatusServiceUnavailable, "/safe/x")
+	servers, _ := s.g.members.backends()
+	if list := s.g.notices.list(servers, bootclock.Now()); len(list) != 1 || list[0].ID != "first" || list[0].State != "leaving" {
+		t.Errorf("the dump lists %+v", list)
+	}
 	second := s.merge(*first, func(b *fleet.BackendServer) { b.ID, b.BornMs = "second", b.BornMs+1 })
 	if err := s.g.noticeError(second.Key()); err != nil {
 		t.Fatalf("the next one at the address inherits the notice: %v", err)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -229,6 +229,7 @@
 	for _, b := range backends {
 		if g.notices.table.RecordLeaving(b) {
 			leavingNoticed.Inc()
+			g.log.Info("another gateway says that a backend server leaves", zap.Uint64("backend", b))
 		}
 	}
 }
@@ -247,9 +248,24 @@
 	n.table.Retain(known, now)
 }
 
+// noticeDump is a backend server with a notice in the state dump.
+type noticeDump struct {
+	// ID is empty if the backend server is not known any more.
+	ID string `json:"id"`
+	notice.Entry
+}
+
 // list returns the backend servers with a notice, for the state dump.
-func (n *notices) list(now time.Duration) []notice.Entry {
+func (n *notices) list(servers []*fleet.BackendServer, now time.Duration) []noticeDump {
+	ids := make(map[uint64]string, len(servers))
+	for _, b := range servers {
+		ids[b.Key()] = b.ID
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.table.List(now)
+	out := []noticeDump{}
+	for _, e := range n.table.List(now) {
+		out = append(out, noticeDump{ids[e.Backend], e})
+	}
+	return out
 }
