gateway: a request just sent is not moved when the path seems lost

An attempt is silent now if nothing came for reach.SuspectAfter since it was sent or something was last received. Attempts that become silent later in the isolation are moved then, so a path that was really lost costs a request 0.6 s at most.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -80,6 +80,8 @@
 	// receivedAt is when something was last received, in ns. Other goroutines read them.
 	isDirect   atomic.Bool
 	receivedAt atomic.Int64
+	// sentAt is sent for other goroutines, in ns.
+	sentAt atomic.Int64
 	// allowed is the time that the backend server was given, from sent on, after which it
 	// stops work.
 	allowed time.Duration
@@ -293,6 +295,7 @@
 		return notRun
 	}
 	a.sent = bootclock.Now()
+	a.sentAt.Store(int64(a.sent))
 	a.allowed = allowedTime(r.deadline - a.sent)
 	r.attempts++
 	// While the request is being sent, the attempt may be moved already.
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -151,18 +151,16 @@
 
 // moveSilentAttempts ends the attempts on own connections that received nothing since a
 // time, so that they continue elsewhere while their callers still wait. Connections that
-// live on are left alone: an attempt that has received something is silent only after
-// reach.SuspectAfter, since connections may fail within less time than passes between two
-// events. It returns the number of attempts ended.
+// live on are left alone: an attempt is silent only after reach.SuspectAfter, since
+// connections may fail within less time than passes between two events, or until a response
+// begins. It returns the number of attempts ended.
 func (g *Gateway) moveSilentAttempts(since time.Duration) int {
 	now := bootclock.Now()
 	g.reachability.mu.Lock()
 	defer g.reachability.mu.Unlock()
 	moved := 0
 	for a, w := range g.reachability.attempts {
-		received := time.Duration(a.receivedAt.Load())
-		isSilent := received == 0 || received < min(since, now-reach.SuspectAfter)
-		if a.isDirect.Load() && isSilent && !w.fired() && a.canFailOver(now) {
+		if a.isDirect.Load() && a.isSilent(since, now) && !w.fired() && a.canFailOver(now) {
 			w.fire()
 			moved++
 		}
@@ -170,6 +168,13 @@
 	return moved
 }
 
+// isSilent reports whether an attempt that was sent has received nothing since a time, nor
+// for reach.SuspectAfter.
+func (a *attempt) isSilent(since, now time.Duration) bool {
+	received := time.Duration(a.receivedAt.Load())
+	return received < since && max(time.Duration(a.sentAt.Load()), received) < now-reach.SuspectAfter
+}
+
 // moveLaterSilent moves the attempts that have fallen silent in an isolation.
 func (g *Gateway) moveLaterSilent() {
 	g.isolation.mu.Lock()
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -524,3 +524,26 @@
 		t.Fatalf("stream %q, error %v", body, err)
 	}
 }
+
+// Guards against a request that is cut right after it was sent because connections to other
+// backend servers, which have ended, are refused within milliseconds of each other.
+func TestRequestJustSentStaysWhenThePathSeemsLost(t *testing.T) {
+	s := newIsolationSetup(t, 1)
+	var ended []*fleet.BackendServer
+	for _, domain := range []string{"b", "c"} {
+		ended = append(ended, s.announce("ended-"+domain, "model", domain, "127.0.0.1:9"))
+	}
+	var runs atomic.Int32
+	s.add("live", "plain", "a", func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		for _, b := range ended {
+			s.g.recordDial(b, bootclock.Now(), syscall.ECONNREFUSED)
+		}
+		time.Sleep(300 * time.Millisecond)
+		echo(w, r)
+	})
+	s.status(http.StatusOK, "/safe/x")
+	if !s.g.isolation.isIsolated() || runs.Load() != 1 {
+		t.Fatalf("isolated: %t, %d runs", s.g.isolation.isIsolated(), runs.Load())
+	}
+}
