soak: paused_dispatcher tells a pool without service from a slow reading

Change: a wait ends only with a check that began after its limit, and reads only the counters it needs. Some callers send requests of 0.2 s, so that they overlap and both engines must serve; the other traffic is as before. The limits and conditions are the same.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -62,6 +62,7 @@
 // traffic is a set of callers that send requests through entry processes until
 // they are stopped.
 type traffic struct {
+	output   int
 	stop     chan struct{}
 	stopOnce sync.Once
 	wg       sync.WaitGroup
@@ -89,9 +90,9 @@
 }
 
 // startTraffic starts callersEach callers on each of the entry processes. Each
-// caller sends one short request after another.
-func (c *cluster) startTraffic(entries []*entryProcess, callersEach int) *traffic {
-	tr := &traffic{stop: make(chan struct{}), ends: map[string]int{}}
+// caller sends one short request after another, with output tokens in its response.
+func (c *cluster) startTraffic(entries []*entryProcess, callersEach, output int) *traffic {
+	tr := &traffic{stop: make(chan struct{}), ends: map[string]int{}, output: output}
 	for _, e := range entries {
 		for range callersEach {
 			tr.wg.Go(func() { c.runCaller(tr, e) })
@@ -109,7 +110,7 @@
 		default:
 		}
 		n := tr.sent.Add(1)
-		r := c.sendPrompt(e, prompt{text: fmt.Sprintf("%s question %d", e.name, n), output: 8})
+		r := c.sendPrompt(e, prompt{text: fmt.Sprintf("%s question %d", e.name, n), output: tr.output})
 		tr.record(r)
 		switch r.Outcome {
 		case loadtool.OK:
@@ -151,7 +152,7 @@
 // excluded.
 func pausedOverOrder(t *testing.T, c *cluster) {
 	paused := c.waitDispatcher("d1")
-	tr := c.startTraffic(c.entries, 4)
+	tr := c.startTraffic(c.entries, 4, 8)
 	t.Cleanup(tr.stopAndWait)
 	time.Sleep(500 * time.Millisecond)
 	pause(paused.process)
@@ -196,18 +197,23 @@
 // is paused.
 func pausedDispatcher(t *testing.T, c *cluster) {
 	paused := c.waitDispatcher("d1")
-	pausedTraffic := c.startTraffic([]*entryProcess{paused}, 6)
+	pausedTraffic := c.startTraffic([]*entryProcess{paused}, 6, 8)
 	t.Cleanup(pausedTraffic.stopAndWait)
-	tr := c.startTraffic(c.entriesExcept(paused), 6)
+	tr := c.startTraffic(c.entriesExcept(paused), 6, 8)
 	t.Cleanup(tr.stopAndWait)
+	// Requests prefer the engine that is not meant for long ones while it has room. On a slow
+	// machine the short ones never overlap, and the other engine would get none. 100 tokens
+	// take 0.2 s at this time scale.
+	overlapping := c.startTraffic(c.entriesExcept(paused), c.layout.coldLimit+1, 100)
+	t.Cleanup(overlapping.stopAndWait)
 	time.Sleep(500 * time.Millisecond)
 	for range 2 {
 		pause(paused.process)
 		c.eventf("%s is paused", paused.name)
-		before, served := c.engineStats(), tr.ok.Load()
+		before, served := c.engineStatsOf(c.standins[0]), tr.ok.Load()
 		last := ""
 		c.within(failoverTime+slack, "another process dispatches for d1", func() bool {
-			now := c.engineStats()
+			now := c.engineStatsOf(c.standins[0])
 			if progress := describeTakeover(before, now); progress != last {
 				last = progress
 				c.eventf("%s", progress)
@@ -227,6 +233,7 @@
 		}
 	}
 	tr.stopAndWait()
+	overlapping.stopAndWait()
 	pausedTraffic.stopAndWait()
 	t.Logf("paused dispatcher: through others %s; through it %s", tr.summary(), pausedTraffic.summary())
 }
--- a/internal/soak/observe_test.go
+++ b/internal/soak/observe_test.go
@@ -136,8 +136,13 @@
 // engineStats returns the counters of all engines by id. The simulated backend
 // servers are never paused, so a failure to read the counters fails the test.
 func (c *cluster) engineStats() map[string]standin.StatsDocument {
+	return c.engineStatsOf(c.standins...)
+}
+
+// engineStatsOf is engineStats for the engines of some processes.
+func (c *cluster) engineStatsOf(standins ...*standinProcess) map[string]standin.StatsDocument {
 	out := map[string]standin.StatsDocument{}
-	for _, p := range c.standins {
+	for _, p := range standins {
 		var docs []standin.StatsDocument
 		if err := c.fetchFromStandin(p, "/admin/stats", standinTimeout, &docs); err != nil {
 			c.t.Errorf("stats of %s: %v", p.name, err)
--- a/internal/soak/setup_test.go
+++ b/internal/soak/setup_test.go
@@ -415,14 +415,19 @@
 	c.propose(orderCommand(kind, target, out, number, fmt.Sprintf("order-%s-%s-%d", kind, target, number)))
 }
 
-// waitUntil polls until cond is true, and reports whether that was within the limit.
+// waitUntil polls until cond is true, and reports whether that was within the limit. It is
+// not if a check that began after the limit says so: one that began before may have taken
+// long on a busy machine, and tells of the time at which it began.
 func waitUntil(limit time.Duration, cond func() bool) bool {
-	for end := time.Now().Add(limit); !cond(); time.Sleep(pollInterval) {
-		if time.Now().After(end) {
+	for end := time.Now().Add(limit); ; time.Sleep(pollInterval) {
+		isLast := time.Now().After(end)
+		if cond() {
+			return true
+		}
+		if isLast {
 			return false
 		}
 	}
-	return true
 }
 
 // within polls until cond is true, and fails the test after the limit.
