--- a/internal/soak/notices_test.go
+++ b/internal/soak/notices_test.go
@@ -37,7 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t, tc.layout)
-			tr := c.startTraffic(c.entries, tc.callers)
+			tr := c.startTraffic(c.entries, tc.callers, 8)
 			t.Cleanup(tr.stopAndWait)
 			leaving, other := c.busiestEngine("d1")
 			c.leavingBesideKills(tr, leaving)
