gateway: a killed process may accept connections for some ms more

Their attempts ended 5.5 and 5.6 ms after the end of the body, orderly: the connection that is made 5 ms later to see whether the process still runs was accepted. The kernel closes the listener of a process after some of its connections, and an exit on a busy VM is interrupted.

The gateway now waits 50 ms before it asks. Only responses without a length and chunks wait; their events have been forwarded by then.

--- a/internal/gateway/responseend.go
+++ b/internal/gateway/responseend.go
@@ -21,8 +21,8 @@
 const stopTolerance = 5 * time.Millisecond
 
 // processExitTime is how long after the connections of a process that was killed its listener
-// may still be open: the kernel closes them one after the other.
-const processExitTime = 5 * time.Millisecond
+// may still be open: the kernel closes them one after the other, on a processor that others use too.
+const processExitTime = 50 * time.Millisecond
 
 // Ends that look orderly and don't count.
 var (
