placement: policies; the wait for a slot may be part of the choice

Cause: the wait for a slot was added to the predicted first event only after the engine had been chosen, so that short requests went to engines without a free slot while others had most slots free. Change: placement.Policy selects what a choice counts; its zero value is the present behaviour.

--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -148,7 +148,7 @@
 	c := f.Classes[r.Class]
 	value := placement.EstimateValue(prompt, output)
 	elapsed := at - r.ArrivedMs
-	choice, ok := placement.Choose(f.Spec, placement.Request{
+	choice, ok := (placement.Policy{}).Choose(f.Spec, placement.Request{
 		PromptTokens: prompt, OutputTokens: output, ObjectiveMs: max(1, c.ObjectiveMs-elapsed), AbandonMs: c.AbandonMs - elapsed, Value: value,
 	}, f.candidates(), at)
 	if ok && choice.Defer {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -256,7 +256,7 @@
 	if req.PromptTokens+req.OutputTokens > float64(spec.CapacityTokens)*float64(min(len(list), placement.MaxHelpers+1)) {
 		return nil, errTooLarge
 	}
-	choice, ok := placement.Choose(spec, req, engines, ms(now))
+	choice, ok := g.settings.Placement.Choose(spec, req, engines, ms(now))
 	if !ok {
 		return nil, errFull
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"bilberryhub/internal/control"
+	"bilberryhub/internal/placement"
 	"bilberryhub/internal/settings"
 )
 
@@ -54,6 +55,8 @@
 	AnnounceMs int64 `json:"announce_ms"`
 	// MemoryMB is the memory limit of the process; 0 means no limit.
 	MemoryMB int64 `json:"memory_mb"`
+	// Placement selects what the choice of an engine takes into account.
+	Placement placement.Policy `json:"placement"`
 }
 
 // Defaults of optional settings.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -81,6 +81,14 @@
 // ms: about one pass of an engine with decoding requests.
 const DeferStepMs = 50.0
 
+// Policy selects what a choice takes into account beyond the predicted times. The zero
+// value takes nothing of it into account.
+type Policy struct {
+	// SlotWait counts the expected wait for a slot among the costs that are compared.
+	// Without it a full engine is chosen as long as its prefills would be in time.
+	SlotWait bool `json:"slot_wait"`
+}
+
 // Engine is one candidate engine.
 type Engine struct {
 	// Index is the caller's reference to the backend server.
@@ -148,13 +156,15 @@
 	// baseCost is the cost of using the engine at all; cost adds the losses
 	// that the prefill causes there.
 	firstEventMs, baseCost, cost float64
+	// prefillCost is the cost of a helper, which decodes nothing.
+	prefillCost float64
 	// decodeCost is the cost of decoding the response on this engine.
 	decodeCost float64
 }
 
 // Choose returns the placement with the lowest loss, and false if no engine can
 // hold the request. now is in ms on the clock of the engines' Work.
-func Choose(spec *manifest.Engine, r Request, engines []Engine, now float64) (Choice, bool) {
+func (p Policy) Choose(spec *manifest.Engine, r Request, engines []Engine, now float64) (Choice, bool) {
 	best, found := Choice{Loss: math.Inf(1)}, false
 	holders, heldTokens := r.splitMemory(spec)
 	for _, parts := range partCounts {
@@ -171,7 +181,7 @@
 		if parts > 1 && partTokens < minPartTokens {
 			break
 		}
-		if c, ok := chooseParts(spec, r, engines, parts, partTokens, now, holders, heldTokens); ok && c.Loss < best.Loss {
+		if c, ok := p.chooseParts(spec, r, engines, parts, partTokens, now, holders, heldTokens); ok && c.Loss < best.Loss {
 			best, found = c, true
 		}
 	}
@@ -194,7 +204,7 @@
 }
 
 // chooseParts returns the best placement on a given number of engines.
-func chooseParts(
+func (p Policy) chooseParts(
 	spec *manifest.Engine, r Request, engines []Engine, parts int, partTokens, now float64, holders int, heldTokens float64,
 ) (Choice, bool) {
 	scores := make([]scoredEngine, 0, len(engines))
@@ -207,6 +217,9 @@
 		}
 		decodeCost := decodeCostOn(spec, r, e)
 		s.cost += decodeCost
+		if p.SlotWait {
+			s.cost += r.loss(s.firstEventMs+slotWaitMs(r, e)) - r.loss(s.firstEventMs)
+		}
 		s.decodeCost = decodeCost
 		scores = append(scores, s)
 		if first < 0 || s.cost < scores[first].cost {
@@ -223,7 +236,7 @@
 	c.Loss += scores[first].decodeCost
 	scores = slices.Delete(scores, first, first+1)
 	for i := range scores {
-		scores[i].cost -= scores[i].decodeCost
+		scores[i].cost = scores[i].prefillCost
 	}
 	slices.SortFunc(scores, func(a, b scoredEngine) int { return cmp.Compare(a.cost, b.cost) })
 	if !moveHoldersToFront(spec, scores, holders, heldTokens) {
@@ -269,6 +282,7 @@
 	}
 	s.cost = s.baseCost + r.loss(s.firstEventMs)
 	e.Load.VisitLosses(r.PromptTokens, partTokens, now, lateValueShare, func(_ uint64, lost float64) { s.cost += lost })
+	s.prefillCost = s.cost
 	return s
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -37,12 +37,12 @@
 func TestShortPromptHasNoHelpers(t *testing.T) {
 	busy := enginemodel.Work{Request: 1, PromptTokens: 45_000, PartTokens: 45_000, OutputTokens: 600, ObjectiveMs: 1500, PauseMs: 600, Value: 4}
 	for name, list := range map[string][]Engine{"idle": engines(8), "busy": engines(8, busy)} {
-		c, ok := Choose(testSpec, request(8_000, 300), list, 0)
+		c, ok := (Policy{}).Choose(testSpec, request(8_000, 300), list, 0)
 		if !ok || len(c.Helpers) > 0 {
 			t.Errorf("%s engines: a prompt of 8,000 tokens has %d helpers, found %v", name, len(c.Helpers), ok)
 		}
 	}
-	if c, ok := Choose(testSpec, request(182_000, 3000), engines(8), 0); !ok || len(c.Helpers) == 0 {
+	if c, ok := (Policy{}).Choose(testSpec, request(182_000, 3000), engines(8), 0); !ok || len(c.Helpers) == 0 {
 		t.Errorf("a prompt that one engine cannot prefill in time has no helpers, found %v", ok)
 	}
 }
@@ -66,14 +66,14 @@
 		}
 		return out
 	}
-	if c, ok := Choose(testSpec, request(182_000, 3000), prefilling(8), 0); !ok || !c.Defer {
+	if c, ok := (Policy{}).Choose(testSpec, request(182_000, 3000), prefilling(8), 0); !ok || !c.Defer {
 		t.Errorf("a long prompt is not deferred although prefills are just in time: loss %.1f of %.1f, found %v",
 			c.Loss, EstimateValue(182_000, 600), ok)
 	}
-	if c, ok := Choose(testSpec, request(182_000, 3000), engines(8), 0); !ok || c.Defer {
+	if c, ok := (Policy{}).Choose(testSpec, request(182_000, 3000), engines(8), 0); !ok || c.Defer {
 		t.Errorf("a long prompt is deferred although the engines are idle, found %v", ok)
 	}
-	if c, _ := Choose(testSpec, request(5_000, 300), prefilling(8), 0); c.Defer {
+	if c, _ := (Policy{}).Choose(testSpec, request(5_000, 300), prefilling(8), 0); c.Defer {
 		t.Error("a short prompt is deferred")
 	}
 }
