gateway: decide without effects, so that a choice can be explained

choose collected the candidates, decided, and changed tables and metrics on the way, so that nothing could ask where a request would go without sending it. decide now collects the candidates and chooses or refuses; choose adds the work, takes the permit and counts. Reads that changed state have a form that does not: expired load shares, sends to cold backend servers (which are pruned where one is recorded, also without a rate), the decay of outcomes.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"bilberryhub/internal/config"
 	"bilberryhub/internal/enginemodel"
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/manifest"
@@ -106,6 +107,55 @@
 	spare bool
 }
 
+// exclusion is why a backend server is not a candidate.
+type exclusion int
+
+const (
+	notExcluded exclusion = iota
+	excludedGone
+	excludedTried
+	excludedByOrder
+	excludedCold
+	excludedDead
+	excludedByNotice
+	excludedByLimit
+	// excludedUnreachable applies as long as there are other candidates.
+	excludedUnreachable
+)
+
+// situation is what a choice is based on. The lock of the work table is held while it is
+// used.
+type situation struct {
+	now      time.Duration
+	servers  []*fleet.BackendServer
+	gateways int
+	version  *config.Version
+	works    map[uint64][]enginemodel.Work
+	// condition is (*health).condition, or a function that changes nothing.
+	condition func(h *health, b *fleet.BackendServer, key uint64, now, silence time.Duration) backendCondition
+}
+
+// isLocalDetail reports whether load shares stay within the failure domain.
+func (s *situation) isLocalDetail() bool { return s.gateways >= localDetailGateways }
+
+// decision is the result of a choice, which has had no effect yet.
+type decision struct {
+	// pick is where the request runs, or err why it runs nowhere.
+	pick *pick
+	err  error
+	// list holds the candidates that were compared.
+	list []candidate
+	// engines and request are what the placement of a model request is based on, and choice
+	// its result if isPlaced is set.
+	engines  []placement.Engine
+	request  placement.Request
+	choice   placement.Choice
+	isPlaced bool
+	// noticed and limited are the numbers of backend servers that were left out because of
+	// a notice and because of a limit.
+	noticed, limited int
+}
+
 // choose chooses a backend server for a request and adds the request's work to
 // the table. excluded holds the ids of backend servers that have been tried.
 // Orders that take targets out of service are read from the newest
@@ -113,81 +163,121 @@
 // Backend servers in unreachable failure domains are chosen only if there are no
 // others.
 func (g *Gateway) choose(r *request, service *manifest.RoutedService, excluded []string) (*pick, error) {
-	servers, gateways := g.members.backends()
-	isLocalDetail := gateways >= localDetailGateways
-	v := g.sync.Current()
+	s := situation{version: g.sync.Current(), condition: (*health).condition}
+	s.servers, s.gateways = g.members.backends()
 	g.workTable.mu.Lock()
 	defer g.workTable.mu.Unlock()
 	now := g.now()
-	works := g.workTable.works(now)
-	var list, unreachable []candidate
+	s.now, s.works = now, g.workTable.works(now)
+	d := g.decide(&s, r, service, excluded)
+	noticesRespected.Add(d.noticed)
+	limitsApplied.Add(d.limited)
+	if d.err != nil {
+		return nil, d.err
+	}
+	p := d.pick
+	g.takePermit(p.job.backend, now)
+	g.workTable.add(p.job)
+	for _, h := range p.helperJobs {
+		g.workTable.add(h)
+	}
+	if now < p.backend.ColdUntil {
+		g.workTable.recordColdSend(p.job.backend, now)
+	}
+	return p, nil
+}
+
+// decide chooses a backend server or refuses. It changes nothing, apart from what the
+// situation's condition does, so that an explanation runs the same code as a choice.
+func (g *Gateway) decide(s *situation, r *request, service *manifest.RoutedService, excluded []string) decision {
+	var d decision
+	d.err = g.collect(s, &d, service, excluded)
+	if d.err != nil {
+		return d
+	}
+	if service.Engine != nil && r.caller.PromptTokens > 0 {
+		d.err = errors.Trace(g.chooseEngine(&d, r, service, s.now))
+	} else {
+		d.pick = g.choosePlain(d.list, s.now)
+	}
+	if d.pick != nil {
+		d.pick.candidates = len(d.list)
+	}
+	return d
+}
+
+// collect sets the candidates of a decision. It returns why there are none.
+func (g *Gateway) collect(s *situation, d *decision, service *manifest.RoutedService, excluded []string) error {
+	var unreachable []candidate
 	refused := errNoBackend
-	for _, b := range servers {
-		if b.Service != service.Name || !b.Usable() || slices.Contains(excluded, b.ID) {
-			continue
-		}
-		if out, _ := v.Excluded(b.FailureDomain, b.ID); out {
-			continue
-		}
-		key := b.Key()
-		if now < b.ColdUntil && service.ColdPerSecond > 0 && !g.workTable.hasColdCapacity(key, g.coldLimit(service, key, gateways, now), now) {
-			continue
-		}
-		silence := maxMissedAnnouncements * milliseconds(g.settings.AnnounceMs)
-		c := candidate{server: b, key: key, condition: g.health.condition(b, key, now, silence), works: works[key]}
-		if c.condition.dead {
+	var c candidate
+	for _, b := range s.servers {
+		if b.Service != service.Name {
 			continue
 		}
-		isSpared, err := g.checkNotices(key, now)
-		if err != nil {
-			noticesRespected.Inc()
+		out, err := g.assess(&c, s, b, service, excluded)
+		switch out {
+		case notExcluded:
+			d.list = append(d.list, c)
+		case excludedUnreachable:
+			unreachable = append(unreachable, c)
+		case excludedByNotice:
+			d.noticed++
 			refused = earlier(refused, err)
-			continue
-		}
-		var allowed bool
-		if c.spare, allowed = g.allowsRequest(key, now); !allowed {
+		case excludedByLimit:
+			d.limited++
 			refused = errLimited
-			continue
-		}
-		c.spare = c.spare || isSpared
-		if isLocalDetail && b.FailureDomain != g.settings.FailureDomain {
-			c.works = g.workTable.remoteWorks(b.FailureDomain, key, c.works, now)
-		}
-		if g.reachability.unreachable(b.FailureDomain) {
-			unreachable = append(unreachable, c)
-			continue
 		}
-		list = append(list, c)
 	}
-	if len(list) == 0 {
-		list = unreachable
+	if len(d.list) == 0 {
+		d.list = unreachable
 	}
-	if len(list) == 0 {
-		return nil, refused
+	if len(d.list) == 0 {
+		return refused
 	}
-	if isLocalDetail && service.Engine != nil {
-		list = sampleRemote(list, g.settings.FailureDomain, g.members.domains())
+	if s.isLocalDetail() && service.Engine != nil {
+		d.list = sampleRemote(d.list, g.settings.FailureDomain, g.members.domains())
 	}
-	var p *pick
-	var err error
-	if service.Engine != nil && r.caller.PromptTokens > 0 {
-		p, err = g.chooseEngine(r, service, list, now)
-	} else {
-		p, err = g.choosePlain(r, list, now)
+	return nil
+}
+
+// assess sets c to a backend server as a candidate, or returns why it is none; c is then
+// incomplete. The error is set for excludedByNotice.
+func (g *Gateway) assess(c *candidate, s *situation, b *fleet.BackendServer, service *manifest.RoutedService, excluded []string) (exclusion, error) {
+	if !b.Usable() {
+		return excludedGone, nil
 	}
+	if slices.Contains(excluded, b.ID) {
+		return excludedTried, nil
+	}
+	if out, _ := s.version.Excluded(b.FailureDomain, b.ID); out {
+		return excludedByOrder, nil
+	}
+	now, key := s.now, b.Key()
+	if now < b.ColdUntil && service.ColdPerSecond > 0 && !g.workTable.hasColdCapacity(key, g.coldLimit(service, key, s.gateways, now), now) {
+		return excludedCold, nil
+	}
+	silence := maxMissedAnnouncements * milliseconds(g.settings.AnnounceMs)
+	*c = candidate{server: b, key: key, condition: s.condition(g.health, b, key, now, silence), works: s.works[key]}
+	if c.condition.dead {
+		return excludedDead, nil
+	}
+	isSpared, err := g.checkNotices(key, now)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return excludedByNotice, err
 	}
-	p.candidates = len(list)
-	g.takePermit(p.job.backend, now)
-	g.workTable.add(p.job)
-	for _, h := range p.helperJobs {
-		g.workTable.add(h)
+	var allowed bool
+	if c.spare, allowed = g.allowsRequest(key, now); !allowed {
+		return excludedByLimit, nil
 	}
-	if now < p.backend.ColdUntil {
-		g.workTable.coldSends[p.job.backend] = append(g.workTable.coldSends[p.job.backend], now)
+	c.spare = c.spare || isSpared
+	if s.isLocalDetail() && b.FailureDomain != g.settings.FailureDomain {
+		c.works = g.workTable.remoteWorks(b.FailureDomain, key, c.works, now)
 	}
-	return p, nil
+	if g.reachability.unreachable(b.FailureDomain) {
+		return excludedUnreachable, nil
+	}
+	return notExcluded, nil
 }
 
 // coldLimit returns this gateway's part of the requests that a cold backend server may
@@ -206,40 +296,62 @@
 	return 0
 }
 
+// plainCost is the cost of a backend server for a request without a prompt, by part.
+type plainCost struct {
+	// load is the number of open requests for each slot.
+	load     float64
+	failures float64
+	// random breaks ties, so that gateways with the same knowledge don't choose alike.
+	random float64
+	avoid  float64
+	remote float64
+	// spare applies to cold backend servers and to those that have named a limit.
+	spare float64
+}
+
+func (c plainCost) total() float64 {
+	return c.load + c.failures + c.random + c.avoid + c.remote + c.spare
+}
+
+// plainCost returns the cost of a candidate without its random part.
+func (g *Gateway) plainCost(c *candidate, now time.Duration) plainCost {
+	slots := float64(c.server.Slots)
+	if slots <= 0 {
+		slots = defaultPlainSlots
+	}
+	cost := plainCost{load: float64(openRequests(c.works)) / slots, failures: 2 * c.condition.failureShare}
+	if c.condition.avoid {
+		cost.avoid = avoidRisk * 10
+	}
+	if c.server.FailureDomain != g.settings.FailureDomain {
+		cost.remote = 0.1 / slots
+	}
+	if now < c.server.ColdUntil || c.spare {
+		cost.spare = 0.5
+	}
+	return cost
+}
+
 // choosePlain chooses the backend server with the least work in proportion to
 // its slots.
-func (g *Gateway) choosePlain(r *request, list []candidate, now time.Duration) (*pick, error) {
-	best, cost := -1, math.Inf(1)
-	for i, c := range list {
-		slots := float64(c.server.Slots)
-		if slots <= 0 {
-			slots = defaultPlainSlots
-		}
-		score := float64(openRequests(c.works))/slots + 2*c.condition.failureShare + g.random()/1000
-		if c.condition.avoid {
-			score += avoidRisk * 10
-		}
-		if c.server.FailureDomain != g.settings.FailureDomain {
-			score += 0.1 / slots
-		}
-		if now < c.server.ColdUntil || c.spare {
-			score += 0.5
-		}
-		if score < cost {
-			best, cost = i, score
+func (g *Gateway) choosePlain(list []candidate, now time.Duration) *pick {
+	best, lowest := -1, math.Inf(1)
+	for i := range list {
+		cost := g.plainCost(&list[i], now)
+		cost.random = g.random() / 1000
+		if total := cost.total(); total < lowest {
+			best, lowest = i, total
 		}
 	}
 	c := list[best]
 	return &pick{
 		backend: c.server, open: openRequests(c.works),
 		job: &job{backend: c.key, domain: c.server.FailureDomain, sent: now, work: enginemodel.Work{SentMs: ms(now)}},
-	}, nil
+	}
 }
 
-// chooseEngine chooses an engine and helpers for a model request.
-func (g *Gateway) chooseEngine(r *request, service *manifest.RoutedService, list []candidate, now time.Duration) (*pick, error) {
-	spec := service.Engine
-	req := r.placement(now)
+// engines returns the candidates for the placement of a model request.
+func (g *Gateway) engines(spec *manifest.Engine, req placement.Request, list []candidate, now time.Duration) []placement.Engine {
 	engines := make([]placement.Engine, 0, len(list))
 	for i, c := range list {
 		e := placement.Engine{
@@ -253,22 +365,37 @@
 		}
 		engines = append(engines, e)
 	}
-	if req.PromptTokens+req.OutputTokens > float64(spec.CapacityTokens)*float64(min(len(list), placement.MaxHelpers+1)) {
-		return nil, errTooLarge
+	return engines
+}
+
+// chooseEngine chooses an engine and helpers for a model request among the candidates of
+// the decision.
+func (g *Gateway) chooseEngine(d *decision, r *request, service *manifest.RoutedService, now time.Duration) error {
+	spec := service.Engine
+	d.request = r.placement(now)
+	d.engines = g.engines(spec, d.request, d.list, now)
+	if d.request.PromptTokens+d.request.OutputTokens > float64(spec.CapacityTokens)*float64(min(len(d.list), placement.MaxHelpers+1)) {
+		return errTooLarge
 	}
-	choice, ok := g.settings.Placement.Choose(spec, req, engines, ms(now))
-	if !ok {
-		return nil, errFull
+	d.choice, d.isPlaced = g.settings.Placement.Choose(spec, d.request, d.engines, ms(now))
+	if !d.isPlaced {
+		return errFull
 	}
-	if r.events == 0 && choice.Holders > 0 && choice.Loss > maxSplitLossShare*req.Value {
-		return nil, &overloadError{untilMs: choice.FirstEventMs}
+	if r.events == 0 && d.choice.Holders > 0 && d.choice.Loss > maxSplitLossShare*d.request.Value {
+		return &overloadError{untilMs: d.choice.FirstEventMs}
 	}
-	if choice.Defer && r.attempts == 0 && ms(now-r.arrived) < maxDeferShare*r.route.ObjectiveMs {
-		return nil, errDeferred
+	if d.choice.Defer && r.attempts == 0 && ms(now-r.arrived) < maxDeferShare*r.route.ObjectiveMs {
+		return errDeferred
 	}
-	if until, refused := r.shouldRefuse(choice, req, engines); refused {
-		return nil, &overloadError{untilMs: until}
+	if until, refused := r.shouldRefuse(d.choice, d.request, d.engines); refused {
+		return &overloadError{untilMs: until}
 	}
+	d.pick = r.pickOf(d.choice, d.request, d.list, now)
+	return nil
+}
+
+// pickOf returns where a model request runs according to its placement.
+func (r *request) pickOf(choice placement.Choice, req placement.Request, list []candidate, now time.Duration) *pick {
 	parts := float64(1 + len(choice.Helpers))
 	first := list[choice.First]
 	work := enginemodel.Work{
@@ -292,7 +419,7 @@
 		p.helpers = append(p.helpers, list[i].server)
 		p.helperJobs = append(p.helperJobs, &job{backend: list[i].key, domain: list[i].server.FailureDomain, sent: now, work: work})
 	}
-	return p, nil
+	return p
 }
 
 // shouldRefuse reports whether a request should be refused rather than placed,
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -231,8 +231,12 @@
 func (h *health) condition(b *fleet.BackendServer, key uint64, now, silence time.Duration) backendCondition {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.backends[key].condition(b, now, silence)
+}
+
+// condition returns the condition that follows from the observations, which may be nil.
+func (p *backendHealth) condition(b *fleet.BackendServer, now, silence time.Duration) backendCondition {
 	c := backendCondition{slowness: 1, avoid: now-b.SeenAt > silence}
-	p := h.backends[key]
 	if p == nil {
 		return c
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -57,10 +57,7 @@
 	if !g.limits.table.IsLimited(backend) {
 		return false, true
 	}
-	if allowed = g.limits.table.Allows(now, backend, g.members.sender()); !allowed {
-		limitsApplied.Inc()
-	}
-	return g.limits.table.ShouldSpare(now, backend), allowed
+	return g.limits.table.ShouldSpare(now, backend), g.limits.table.Allows(now, backend, g.members.sender())
 }
 
 // takePermit counts a request to a backend server against its limit, if it has one.
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -109,7 +109,7 @@
 
 // testVersion returns a configuration with one route of each kind. out lists
 // the failure domains that are out of service.
-func testVersion(t *testing.T, index uint64, out ...string) *config.Version {
+func testVersion(t testing.TB, index uint64, out ...string) *config.Version {
 	t.Helper()
 	route := func(name string, repeat manifest.Repeat, service string) manifest.Route {
 		return manifest.Route{
--- a/internal/gateway/worktable.go
+++ b/internal/gateway/worktable.go
@@ -176,15 +176,26 @@
 	}
 }
 
-// works returns the work at each backend server. The caller holds the lock.
+// works returns the work at each backend server, and drops expired load shares. The caller
+// holds the lock.
 func (b *workTable) works(now time.Duration) map[uint64][]enginemodel.Work {
-	out := map[uint64][]enginemodel.Work{}
+	out, expired := b.peekWorks(now)
+	for _, id := range expired {
+		delete(b.others, id)
+	}
+	return out
+}
+
+// peekWorks returns the work at each backend server, and the gateways whose load shares
+// have expired. It changes nothing. The caller holds the lock.
+func (b *workTable) peekWorks(now time.Duration) (out map[uint64][]enginemodel.Work, expired []string) {
+	out = map[uint64][]enginemodel.Work{}
 	for j := range b.local {
 		out[j.backend] = append(out[j.backend], j.work)
 	}
 	for id, s := range b.others {
 		if s.expired(now) {
-			delete(b.others, id)
+			expired = append(expired, id)
 			continue
 		}
 		for i := range s.jobs {
@@ -194,7 +205,7 @@
 	for backend, list := range out {
 		out[backend] = b.withEnded(backend, list)
 	}
-	return out
+	return out, expired
 }
 
 // withEnded appends the ended work that was prefilled while some of the list
@@ -252,14 +263,23 @@
 const coldWindow = time.Second
 
 // hasColdCapacity reports whether another request may be sent to a cold backend
-// server, given the limit of requests in each coldWindow.
+// server, given the limit of requests in each coldWindow. The caller holds the lock.
 func (b *workTable) hasColdCapacity(backend uint64, limit int, now time.Duration) bool {
-	list := b.coldSends[backend]
+	return len(recentColdSends(b.coldSends[backend], now)) < limit
+}
+
+// recordColdSend records a request to a cold backend server, and drops those that count no
+// more. The caller holds the lock.
+func (b *workTable) recordColdSend(backend uint64, now time.Duration) {
+	b.coldSends[backend] = append(recentColdSends(b.coldSends[backend], now), now)
+}
+
+// recentColdSends returns the times within the last coldWindow. The list is sorted.
+func recentColdSends(list []time.Duration, now time.Duration) []time.Duration {
 	for len(list) > 0 && now-list[0] > coldWindow {
 		list = list[1:]
 	}
-	b.coldSends[backend] = list
-	return len(list) < limit
+	return list
 }
 
 // ms returns a duration in milliseconds, with fraction.
