bilberryctl: explain, which shows where a request would go

The command asks the admin address of a gateway for an explanation and prints a table of the candidates, or JSON. Exit codes: 1 for a query that the gateway refuses, 2 for wrong usage, 3 for a gateway that is not reached, has no configuration or is of an earlier build.

--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -29,15 +29,16 @@
 const (
 	// ExitOK means that the command succeeded.
 	ExitOK = 0
-	// ExitRefused means that the input is invalid or was refused, or that the
-	// replica to wait for has not joined. Nothing was changed.
+	// ExitRefused means that the input is invalid or was refused, that the
+	// replica to wait for has not joined, or that the gateway to explain knows no such
+	// route or account. Nothing was changed.
 	ExitRefused = 1
 	// ExitUsage means that the command line or the settings are invalid, or that a
 	// file cannot be read.
 	ExitUsage = 2
 	// ExitUnreachable means that no state process could serve the command, that none
-	// was fresh for the command status, or that the address to dump could not be
-	// reached. Nothing was changed.
+	// was fresh for the command status, or that the address to dump or the gateway to
+	// explain could not be reached or could not answer. Nothing was changed.
 	ExitUnreachable = 3
 	// ExitUnknown means that the change may have taken effect or may still take
 	// effect. The same command can be run again: a manifest that was accepted is
@@ -57,6 +58,10 @@
   in backend-server ID         take a backend server into service again
   status                       show state processes, entry processes and orders
   dump ADDRESS                 print the state dump of an admin address
+  explain -gateway ADDRESS -route NAME
+                               show where a request would go now, and why, without
+                               sending it; ADDRESS is the admin address of a
+                               gateway; needs no -config
   join NAME                    wait until a state replica is a voter; a replica
                                whose disk was lost joins by itself at its start
 
@@ -71,6 +76,8 @@
 	number uint64
 	reason string
 	wait   time.Duration
+	// explained is what the command explain asks.
+	explained explainQuery
 }
 
 // tool is the state of one invocation of the command line.
@@ -116,6 +123,7 @@
 	flags.Uint64Var(&opts.number, "number", 0, "`number` of an order; 0 takes the next one")
 	flags.StringVar(&opts.reason, "reason", "", "`reason` stored with an order")
 	flags.DurationVar(&opts.wait, "wait", time.Minute, "`time` to wait for a replica to join")
+	opts.explained.register(flags)
 	positional, err := parseInterspersed(flags, args)
 	if errors.Is(err, flag.ErrHelp) {
 		return ExitOK
@@ -153,10 +161,13 @@
 
 // runCommand runs the command that the positional arguments name.
 func (t *tool) runCommand(ctx context.Context, commonFlags *settings.Flags, positional []string) (*report, error) {
-	// The command check needs no settings.
+	// The commands check and explain need no settings.
 	if len(positional) == 2 && positional[0] == "check" {
 		return t.check(positional[1])
 	}
+	if len(positional) == 1 && positional[0] == "explain" {
+		return t.explain(ctx)
+	}
 	if err := t.loadSettings(commonFlags.Config); err != nil {
 		return nil, withExitCode(ExitUsage, err)
 	}
