gateway: GET /explain at the admin address

Operators could only guess from logs why a request went to a backend server. The explanation runs decide, as the choice does, on the state as it is, and adds what is known of each backend server with its age, the cost by part and the reason of each exclusion. Outcomes are decayed on a copy.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -131,7 +131,7 @@
 	gateways int
 	version  *config.Version
 	works    map[uint64][]enginemodel.Work
-	// condition is (*health).condition, or a function that changes nothing.
+	// condition is (*health).condition, or (*health).peekCondition to change nothing.
 	condition func(h *health, b *fleet.BackendServer, key uint64, now, silence time.Duration) backendCondition
 }
 
@@ -313,6 +313,9 @@
 	return c.load + c.failures + c.random + c.avoid + c.remote + c.spare
 }
 
+// randomCostDivisor divides a random number in [0, 1) to the part random of a plainCost.
+const randomCostDivisor = 1000
+
 // plainCost returns the cost of a candidate without its random part.
 func (g *Gateway) plainCost(c *candidate, now time.Duration) plainCost {
 	slots := float64(c.server.Slots)
@@ -338,7 +341,7 @@
 	best, lowest := -1, math.Inf(1)
 	for i := range list {
 		cost := g.plainCost(&list[i], now)
-		cost.random = g.random() / 1000
+		cost.random = g.random() / randomCostDivisor
 		if total := cost.total(); total < lowest {
 			best, lowest = i, total
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,7 +177,7 @@
 	if g.peerServer, err = wire.Serve(g.settings.ShareListen, peerOpts, g.servePeer, g.log); err != nil {
 		return errors.Trace(err)
 	}
-	g.admin = observe.NewAdmin(g.dump)
+	g.admin = g.newAdmin()
 	if err := g.admin.Serve(g.settings.AdminListen); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -234,6 +235,20 @@
 	return h.backends[key].condition(b, now, silence)
 }
 
+// peekCondition returns the same as condition without the decay of past outcomes, which
+// changes the table.
+func (h *health) peekCondition(b *fleet.BackendServer, key uint64, now, silence time.Duration) backendCondition {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.backends[key]
+	if p != nil {
+		observed := *p
+		observed.peers = maps.Clone(p.peers)
+		p = &observed
+	}
+	return p.condition(b, now, silence)
+}
+
 // condition returns the condition that follows from the observations, which may be nil.
 func (p *backendHealth) condition(b *fleet.BackendServer, now, silence time.Duration) backendCondition {
 	c := backendCondition{slowness: 1, avoid: now-b.SeenAt > silence}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -54,16 +54,22 @@
 }
 
 // Admin is the HTTP server of one process for administration. It serves /metrics,
-// /health, /dump and profiles.
+// /health, /dump, profiles and the handlers that were added.
 type Admin struct {
 	dump     func() (any, error)
+	handlers map[string]http.HandlerFunc
 	draining atomic.Bool
 	server   *http.Server
 }
 
 // NewAdmin returns an Admin whose state dump is the JSON encoding of what dump
 // returns.
-func NewAdmin(dump func() (any, error)) *Admin { return &Admin{dump: dump} }
+func NewAdmin(dump func() (any, error)) *Admin {
+	return &Admin{dump: dump, handlers: map[string]http.HandlerFunc{}}
+}
+
+// Handle adds a handler for a pattern of http.ServeMux, before Register or Serve is called.
+func (a *Admin) Handle(pattern string, h http.HandlerFunc) { a.handlers[pattern] = h }
 
 // SetDraining makes /health respond with status 503, so that the load balancer sends no
 // new connections.
@@ -93,6 +99,9 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(doc)
 	})
+	for pattern, h := range a.handlers {
+		mux.HandleFunc(pattern, h)
+	}
 }
 
 // Document returns the state dump as indented JSON.
