Red tests: early ends during the upload and undefined statuses are taken for responses

Cause: if a backend server resets a connection while the request is being written, the kernel reports the reset once, to the read or to the write. When the write takes it, the read finds an orderly end, and a body without a length looks complete. The same happens where the connection is closed in an orderly way before the request was read. Statuses below 100 are skipped like informational ones by package exchange and returned as a response by package backend.

--- /dev/null
+++ b/internal/gateway/earlyend_test.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strings"
+	"testing"
+
+	"bilberryhub/internal/rawbackend"
+)
+
+// earlyEndRuns is the number of requests for each case, as which of two system calls
+// takes the error of a reset differs from run to run.
+const earlyEndRuns = 4
+
+// earlyEndCases returns responses that the caller must not get as a complete one.
+func earlyEndCases() map[string]rawbackend.Response {
+	const header = "X-Id: %s\r\nContent-Type: text/event-stream\r\n"
+	cases := rawbackend.EarlyEnds("HTTP/1.1 200 OK\r\n"+header, onlyEvent)
+	maps.Copy(cases, rawbackend.WithStatus(header, onlyEvent))
+	return cases
+}
+
+// earlyEndSetup is a gateway in front of two backend servers of a service that send the
+// same response.
+type earlyEndSetup struct {
+	*setup
+	servers [2]*rawbackend.Server
+}
+
+// newEarlyEndSetup returns the setup for a path. The requests go through another gateway if
+// isIsolated is set.
+func newEarlyEndSetup(t *testing.T, path string, response rawbackend.Response, isIsolated bool) *earlyEndSetup {
+	t.Helper()
+	s := &earlyEndSetup{}
+	connecting := []*setup{}
+	if isIsolated {
+		isolated := newIsolatedSetup(t)
+		s.setup = isolated.setup
+		connecting = append(connecting, isolated.others...)
+	} else {
+		s.setup = newSetup(t)
+		connecting = append(connecting, s.setup)
+	}
+	for i := range s.servers {
+		s.servers[i] = (&rawbackend.Server{IDHeader: "X-Id", Response: response}).Serve(t)
+		for _, g := range append(connecting, s.setup) {
+			g.announce(fmt.Sprintf("server-%d", i), serviceOf(path), "a", s.servers[i].Address)
+		}
+	}
+	for _, g := range connecting {
+		g.g.exchanges.Dial = rawbackend.Dial
+	}
+	return s
+}
+
+// requests returns how often the backend servers got a request.
+func (s *earlyEndSetup) requests() int {
+	return int(s.servers[0].Requests.Load() + s.servers[1].Requests.Load())
+}
+
+// isRepeatable reports whether requests for a path of testVersion may run again.
+func isRepeatable(path string) bool { return path == "/safe/x" || path == "/stream/x" }
+
+// callLong sends a request with a long body. isComplete is set if its response is whole.
+func (s *setup) callLong(path, id string) (status int, body string, isComplete bool) {
+	s.t.Helper()
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+path, strings.NewReader(strings.Repeat("a", rawbackend.LongBodyBytes)))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header = http.Header{"X-Id": {id}, "X-Key": {testKey}, "X-Wait-Ms": {"4000"}, "X-Prompt": {"100"}}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, "", false
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err == nil
+}
+
+// Guards against a part of a response, or a response whose status HTTP doesn't define, that
+// the caller gets as a complete one; against a refusal that guarantees that the request
+// hasn't run; and against a second run of a request that may run only once. Directly and
+// through another gateway; the two backend servers send the same response.
+func TestEarlyEndsAndNoStatusesAreNoResponses(t *testing.T) {
+	for _, isIsolated := range []bool{false, true} {
+		for _, path := range []string{"/once/x", "/safe/x", "/stream/x", "/rigid/x"} {
+			for name, response := range earlyEndCases() {
+				t.Run(fmt.Sprintf("%s through another %v %s", path, isIsolated, name), func(t *testing.T) {
+					t.Parallel()
+					for i := range earlyEndRuns {
+						s := newEarlyEndSetup(t, path, response, isIsolated)
+						s.checkNoResponse(path, fmt.Sprint("id-", i))
+					}
+				})
+			}
+		}
+	}
+}
+
+// checkNoResponse sends a request to the backend servers, both of which must count as
+// failed.
+func (s *earlyEndSetup) checkNoResponse(path, id string) {
+	s.t.Helper()
+	status, body, isComplete := s.callLong(path, id)
+	if s.requests() == 0 {
+		s.t.Error("no backend server got the request")
+	}
+	if isComplete && status != http.StatusBadGateway {
+		s.t.Errorf("complete with status %d and %q; expected %d or an aborted response", status, body, http.StatusBadGateway)
+	}
+	if n := s.requests(); !isRepeatable(path) && n > 1 {
+		s.t.Errorf("%d runs of a request that may run only once", n)
+	}
+}
+
+// Guards against a request that isn't sent to another backend server, although it may be
+// repeated, after a response with a status that HTTP doesn't define.
+func TestUndefinedStatusIsTriedElsewhere(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/stream/x", "/rigid/x", "/once/x"} {
+		for _, status := range []string{"000", "600", "999"} {
+			t.Run(path+" "+status, func(t *testing.T) {
+				t.Parallel()
+				s := newSetup(t)
+				raw := (&rawbackend.Server{IDHeader: "X-Id", Response: rawbackend.Response{
+					Bytes: "HTTP/1.1 " + status + " X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", End: rawbackend.Close,
+				}}).Serve(t)
+				s.announce("server-0", serviceOf(path), "a", raw.Address)
+				s.add("server-1", serviceOf(path), "b", echo)
+				for range 10 {
+					before := raw.Requests.Load()
+					resp, body, err := s.call(path, "X-Prompt", "100")
+					if err != nil {
+						t.Fatal(err)
+					}
+					want := http.StatusOK
+					if !isRepeatable(path) && raw.Requests.Load() > before {
+						want = http.StatusBadGateway
+					}
+					if resp.StatusCode != want {
+						t.Errorf("status %d with %q, expected %d", resp.StatusCode, body, want)
+					}
+				}
+				if raw.Requests.Load() == 0 {
+					t.Error("the backend server with the undefined status got no request")
+				}
+			})
+		}
+	}
+}
