Early ends during the upload and undefined statuses are failures with an unknown outcome

A reset that a write in progress takes leaves the read an orderly end; an orderly end before the request was read was one for a body without a length; statuses outside 200 to 599 were skipped or passed on.

Change: package backendconn, used by gateways, entry processes and the process that connects for them. Its Reader returns io.EOF only if the socket was not reset (TCP_INFO) and the peer has acknowledged all that was written (SIOCOUTQ). A body that ends with its connection counts only if the request was written in full; through a peer, the end is passed on 50 ms later if it is still orderly then, as the rest of the request may be on its way. Statuses outside 200 to 599 are ErrUndefinedStatus: 502, and tried elsewhere if the request may be repeated.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -22,6 +22,8 @@
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
+
+	"bilberryhub/internal/backendconn"
 )
 
 // RequestIDHeader carries the dispatch id to the backend server, which echoes
@@ -153,10 +155,11 @@
 	return n, nil
 }
 
-// Do sends r and returns the response after checking that its request id, if it has
-// one, is that of r. The caller closes the body. Errors are of type *Error.
+// Do sends r and returns the response after checking that HTTP defines its status, and that
+// its request id, if it has one, is that of r. The caller closes the body. Errors are of type
+// *Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
-	writeGate := &gate{check: r.BeforeSend, onLate: r.OnLateWrite}
+	writeGate := newGate(r)
 	ctx, cancel := context.WithCancel(ctx)
 	req, err := newRequest(withGate(ctx, writeGate), r)
 	if err != nil {
@@ -176,9 +179,13 @@
 		}
 		return nil, &Error{Step: "send request", Backend: r.Backend, Sent: writeGate.sent.Load(), Err: err}
 	}
-	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
+	resp.Body = &responseBody{ReadCloser: resp.Body, cancel: cancel, gate: writeGate, endsWithConn: EndsWithConnection(resp)}
 	c.recordEcho(r.Address, resp.Header.Get(RequestIDHeader) != "")
-	if err := checkRequestID(resp, r.ID, isPooled); err != nil {
+	err = backendconn.CheckStatus(resp.StatusCode)
+	if err == nil {
+		err = checkRequestID(resp, r.ID, isPooled)
+	}
+	if err != nil {
 		_ = resp.Body.Close()
 		return nil, &Error{Step: "check answer", Backend: r.Backend, Sent: true, Err: err}
 	}
@@ -238,14 +245,30 @@
 	return errors.Annotatef(ErrRequestIDMismatch, "%q instead of %q", got, id)
 }
 
-// cancelBody is a response body that releases the context of the dispatch when it
-// is closed.
-type cancelBody struct {
+// EndsWithConnection reports whether the body of a response has neither a length nor chunks.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// responseBody is a response body that releases the context of the dispatch when it
+// is closed. One that ends with its connection isn't complete if the backend server has
+// ended it before it had received the request.
+type responseBody struct {
 	io.ReadCloser
-	cancel func()
+	cancel       func()
+	gate         *gate
+	endsWithConn bool
+}
+
+func (b *responseBody) Read(buf []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buf)
+	if err == io.EOF && b.endsWithConn && !b.gate.isRequestWritten() {
+		err = backendconn.ErrRequestUnread
+	}
+	return n, err
 }
 
-func (b *cancelBody) Close() error {
+func (b *responseBody) Close() error {
 	b.cancel()
 	return b.ReadCloser.Close()
 }
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -6,6 +6,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"bilberryhub/internal/backendconn"
 )
 
 // lateWrite is the time between the check of a dispatch and the end of its first write
@@ -26,6 +28,58 @@
 	sent atomic.Bool
 	// err is the error of the check.
 	err atomic.Pointer[error]
+	// headMatched is the length of the part of headEnd that ends what was written so far,
+	// bodyLeft what is left of the body, and isComplete is set when the request was written
+	// in full. Only the write goroutine uses them.
+	headMatched, bodyLeft int
+	isComplete            bool
+	// requestWritten is closed when the request was written in full.
+	requestWritten chan struct{}
+}
+
+// headEnd ends the head of a request.
+const headEnd = "\r\n\r\n"
+
+func newGate(r *Request) *gate {
+	return &gate{check: r.BeforeSend, onLate: r.OnLateWrite, bodyLeft: len(r.Body), requestWritten: make(chan struct{})}
+}
+
+// count counts bytes that were written to the connection. net/http reports the end of a
+// request before it has flushed its buffer.
+func (g *gate) count(p []byte) {
+	g.bodyLeft -= len(g.skipHead(p))
+	if !g.isComplete && g.headMatched == len(headEnd) && g.bodyLeft <= 0 {
+		g.isComplete = true
+		close(g.requestWritten)
+	}
+}
+
+// skipHead returns the part of written bytes that belongs to the body.
+func (g *gate) skipHead(p []byte) []byte {
+	for ; len(p) > 0 && g.headMatched < len(headEnd); p = p[1:] {
+		switch p[0] {
+		case headEnd[g.headMatched]:
+			g.headMatched++
+		case headEnd[0]:
+			g.headMatched = 1
+		default:
+			g.headMatched = 0
+		}
+	}
+	return p
+}
+
+// isRequestWritten reports whether the request was written in full. It waits for that for up
+// to backendconn.WriteEndTimeout.
+func (g *gate) isRequestWritten() bool {
+	timer := time.NewTimer(backendconn.WriteEndTimeout)
+	defer timer.Stop()
+	select {
+	case <-g.requestWritten:
+		return true
+	case <-timer.C:
+		return false
+	}
 }
 
 // allowWrite runs the check if it has not passed before, and returns its error. Once
@@ -61,12 +115,14 @@
 }
 
 // gatedConn is a connection whose writes are subject to the gate of the dispatch
-// that currently uses it.
+// that currently uses it, and whose end is read as by backendconn.Reader.
 type gatedConn struct {
 	net.Conn
 	gate atomic.Pointer[gate]
 }
 
+func (c *gatedConn) Read(p []byte) (int, error) { return backendconn.Reader{Conn: c.Conn}.Read(p) }
+
 func (c *gatedConn) Write(p []byte) (int, error) {
 	g := c.gate.Load()
 	if g == nil {
@@ -78,6 +134,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
+	g.count(p[:n])
 	if isFirst {
 		g.written(checked)
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,6 +11,7 @@
 
 	"bilberryhub/internal/announce"
 	"bilberryhub/internal/backend"
+	"bilberryhub/internal/backendconn"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/relay"
@@ -275,6 +276,10 @@
 		out.step = wirepb.Progress_STEP_CANCELLED
 		out.err = refusal.NewUnknown(refusal.AnswerMismatch, "backend server answered another request")
 		a.cancelStream()
+	case errors.Is(err, backendconn.ErrUndefinedStatus):
+		out.step = wirepb.Progress_STEP_BROKEN
+		out.err = refusal.NewUnknown(refusal.BackendFailed, "backend server answered with a status that HTTP doesn't define")
+		a.cancelStream()
 	case sent:
 		out.step = wirepb.Progress_STEP_BROKEN
 		out.err = refusal.NewUnknown(refusal.BackendFailed, "connection to the backend server broke")
--- a/internal/entry/responseend.go
+++ b/internal/entry/responseend.go
@@ -24,7 +24,7 @@
 	if a.req.model != nil {
 		return !json.Valid(body)
 	}
-	if !endsWithConnection(resp) {
+	if !backend.EndsWithConnection(resp) {
 		return false
 	}
 	for range healthChecksAtEnd {
@@ -40,11 +40,6 @@
 // alive that doesn't respond to them, or has no health endpoint.
 const healthChecksAtEnd = 3
 
-// endsWithConnection reports whether the body of a response has neither a length nor chunks.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // checkHealth checks the health of the backend server.
 func (a *attempt) checkHealth(ctx context.Context) backend.Health {
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -25,6 +25,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
+	"bilberryhub/internal/backendconn"
 	"bilberryhub/internal/wire"
 )
 
@@ -205,7 +206,7 @@
 }
 
 func newConn(nc net.Conn, address string) *conn {
-	source := &headLimiter{r: nc}
+	source := &headLimiter{r: backendconn.Reader{Conn: nc}}
 	return &conn{Conn: nc, address: address, source: source, r: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
@@ -377,7 +378,8 @@
 
 // readHeader reads the status line and header of the next response that is not
 // informational (status 1xx). The error is ErrTooLarge over maxHeadBytes or
-// maxInformational.
+// maxInformational, and backendconn.ErrUndefinedStatus for a status that HTTP doesn't
+// define: neither is the response, nor may it be skipped like an informational one.
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	c.source.isHead, c.source.left = true, maxHeadBytes
 	defer func() { c.source.isHead = false }()
@@ -392,8 +394,8 @@
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("switches protocols unasked")
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if response.StatusCode < http.StatusContinue || response.StatusCode >= http.StatusOK {
+			return response, backendconn.CheckStatus(response.StatusCode)
 		}
 	}
 	return nil, errors.Annotatef(ErrTooLarge, "more than %d informational responses", maxInformational)
@@ -458,15 +460,42 @@
 
 func (b *body) Read(buf []byte) (int, error) {
 	n, err := b.parsed.Body.Read(buf)
+	if err == io.EOF && (*Response)(b).Framing() == FramedByConnection && !b.conn.isRequestWritten() {
+		err = backendconn.ErrRequestUnread
+	}
 	if err == io.EOF {
 		b.complete = true
 	}
 	return n, err
 }
 
+// isRequestWritten reports whether the request was written in full. It waits for the end of
+// the write for up to backendconn.WriteEndTimeout.
+func (c *conn) isRequestWritten() bool {
+	timer := time.NewTimer(backendconn.WriteEndTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.written:
+		return c.writeErr == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // Complete reports whether the body was read to its end.
 func (resp *Response) Complete() bool { return resp.complete }
 
+// EndError returns why a body that has ended with its connection isn't complete because of
+// what has happened on the connection since: a backend server that doesn't read the rest of
+// the request may close its connection in an orderly way first and reset it then. It returns
+// nil for other bodies and for connections through a peer, which checks this itself.
+func (resp *Response) EndError() error {
+	if resp.Framing() != FramedByConnection {
+		return nil
+	}
+	return backendconn.EndError(resp.conn.Conn)
+}
+
 // Close returns the connection to the pool if the request and the response are
 // complete and the connection can carry another request, and closes it otherwise.
 func (resp *Response) Close() {
--- a/internal/gateway/responseend.go
+++ b/internal/gateway/responseend.go
@@ -51,6 +51,9 @@
 		err = io.ErrUnexpectedEOF
 	default:
 		err = a.endError(response.Framing(), now)
+		if err == nil {
+			err = response.EndError()
+		}
 	}
 	a.recordEnd(err, now)
 	return err
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -23,6 +23,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
+	"bilberryhub/internal/backendconn"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
@@ -278,11 +279,24 @@
 // reports whether the backend server has ended in an orderly way, and tells a caller that
 // reads frames.
 func copyResponse(to caller, from net.Conn) (isOrderly bool) {
+	source := backendconn.Reader{Conn: from}
 	if !to.readsFrames {
-		return copyBytes(to, from) == nil
+		return copyBytes(to, source) == nil
 	}
 	frames := &frameWriter{w: to}
-	return copyBytes(frames, from) == nil && frames.end() == nil
+	return copyBytes(frames, source) == nil && staysOrderly(from) && frames.end() == nil
+}
+
+// endSettleTime is how long after the orderly end of a backend server the rest of a request
+// that is still on its way from the caller has time to arrive. The backend server resets the
+// connection if it hasn't ended because it was done, and the caller can't see this.
+const endSettleTime = 50 * time.Millisecond
+
+// staysOrderly reports whether an orderly end of a backend server is still one after
+// endSettleTime. Only a response that ends with its connection waits for it.
+func staysOrderly(from net.Conn) bool {
+	time.Sleep(endSettleTime)
+	return backendconn.EndError(from) == nil
 }
 
 // copyBytes copies until one side ends, and returns nil if from has ended in an orderly
