entry: an end after a long request counts only once it has settled

Change: the client of entry processes waits 50 ms after the end of a body that ends with its connection, for requests over 16 KiB, as the process that connects for others does; gateways wait that long already and check the connection afterwards. Whole responses to long requests are tested as well.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -40,6 +40,9 @@
 	// bufferBytes is the size of the read buffer and of the write buffer of a
 	// connection. Events are small, and each open stream holds both buffers.
 	bufferBytes = 4 << 10
+	// longBodyBytes is the size of a request body above which a backend server may end its
+	// response before it has read the body. A shorter one is read at once.
+	longBodyBytes = 16 << 10
 	// healthTimeout bounds a health check; a backend server that is alive
 	// responds within a few milliseconds.
 	healthTimeout = 400 * time.Millisecond
@@ -179,7 +182,9 @@
 		}
 		return nil, &Error{Step: "send request", Backend: r.Backend, Sent: writeGate.sent.Load(), Err: err}
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, cancel: cancel, gate: writeGate, endsWithConn: EndsWithConnection(resp)}
+	endsWithConn := EndsWithConnection(resp)
+	writeGate.settlesEnd.Store(endsWithConn && len(r.Body) > longBodyBytes)
+	resp.Body = &responseBody{ReadCloser: resp.Body, cancel: cancel, gate: writeGate, endsWithConn: endsWithConn}
 	c.recordEcho(r.Address, resp.Header.Get(RequestIDHeader) != "")
 	err = backendconn.CheckStatus(resp.StatusCode)
 	if err == nil {
--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -28,6 +29,9 @@
 	sent atomic.Bool
 	// err is the error of the check.
 	err atomic.Pointer[error]
+	// settlesEnd is set for a response whose end counts only after
+	// backendconn.EndSettleTime.
+	settlesEnd atomic.Bool
 	// headMatched is the length of the part of headEnd that ends what was written so far,
 	// bodyLeft what is left of the body, and isComplete is set when the request was written
 	// in full. Only the write goroutine uses them.
@@ -121,7 +125,17 @@
 	gate atomic.Pointer[gate]
 }
 
-func (c *gatedConn) Read(p []byte) (int, error) { return backendconn.Reader{Conn: c.Conn}.Read(p) }
+// Read reads bytes.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := backendconn.Reader{Conn: c.Conn}.Read(p)
+	if g := c.gate.Load(); err == io.EOF && g != nil && g.settlesEnd.Load() {
+		// net/http closes the connection when it gets the end, so this is the last chance.
+		if endErr := backendconn.SettledEndError(c.Conn); endErr != nil {
+			return n, endErr
+		}
+	}
+	return n, err
+}
 
 func (c *gatedConn) Write(p []byte) (int, error) {
 	g := c.gate.Load()
--- a/internal/backendconn/backendconn.go
+++ b/internal/backendconn/backendconn.go
@@ -19,6 +19,11 @@
 // request, that write returns within microseconds.
 const WriteEndTimeout = 50 * time.Millisecond
 
+// EndSettleTime is how long after an orderly end a backend server may reset its connection.
+// It does so if it closes the connection without having read the whole request, of which the
+// rest may lie in its receive buffer, or be on its way.
+const EndSettleTime = 50 * time.Millisecond
+
 // Errors for responses that must not be forwarded.
 var (
 	// ErrRequestUnread means that the backend server has ended its connection before it had
@@ -81,6 +86,13 @@
 	return endErr
 }
 
+// SettledEndError is EndError after EndSettleTime. A body that ends with its connection is
+// complete if it returns nil.
+func SettledEndError(conn net.Conn) error {
+	time.Sleep(EndSettleTime)
+	return EndError(conn)
+}
+
 // socketEndError is EndError for a socket.
 func socketEndError(fd int) error {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -284,19 +284,9 @@
 		return copyBytes(to, source) == nil
 	}
 	frames := &frameWriter{w: to}
-	return copyBytes(frames, source) == nil && staysOrderly(from) && frames.end() == nil
-}
-
-// endSettleTime is how long after the orderly end of a backend server the rest of a request
-// that is still on its way from the caller has time to arrive. The backend server resets the
-// connection if it hasn't ended because it was done, and the caller can't see this.
-const endSettleTime = 50 * time.Millisecond
-
-// staysOrderly reports whether an orderly end of a backend server is still one after
-// endSettleTime. Only a response that ends with its connection waits for it.
-func staysOrderly(from net.Conn) bool {
-	time.Sleep(endSettleTime)
-	return backendconn.EndError(from) == nil
+	// The rest of the request may still be on its way from the caller, which doesn't see what
+	// becomes of it. Only a response that ends with its connection waits for this.
+	return copyBytes(frames, source) == nil && backendconn.SettledEndError(from) == nil && frames.end() == nil
 }
 
 // copyBytes copies until one side ends, and returns nil if from has ended in an orderly
--- a/internal/rawbackend/rawbackend.go
+++ b/internal/rawbackend/rawbackend.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -41,6 +42,10 @@
 	// CloseAndReset: the sending side is closed in an orderly way, and the connection is
 	// reset after endDelay.
 	CloseAndReset End = "closed, then reset"
+	// CloseMidway: half of a long body is read as fast as it arrives, the sending side is
+	// closed in an orderly way at once, and the connection is reset after endDelay. All that
+	// has arrived may be acknowledged at the end, while the rest is on its way.
+	CloseMidway End = "closed midway, then reset"
 	// Close: the body is read to its end, and the connection is closed in an orderly way.
 	Close End = "closed"
 )
@@ -101,7 +106,7 @@
 
 func (s *Server) serve(c *net.TCPConn) {
 	defer c.Close()
-	if s.Response.End != Close {
+	if s.Response.End == Reset || s.Response.End == CloseAndReset {
 		_ = c.SetReadBuffer(receiveBufferBytes)
 	}
 	r, err := http.ReadRequest(bufio.NewReaderSize(c, readBytes))
@@ -114,28 +119,34 @@
 		return
 	}
 	s.Requests.Add(1)
-	if s.Response.End == Close {
-		_, _ = io.Copy(io.Discard, r.Body)
-	} else {
-		_, _ = io.ReadFull(r.Body, make([]byte, readBytes))
-	}
+	bodyBytes := map[End]int64{Reset: readBytes, CloseAndReset: readBytes, CloseMidway: LongBodyBytes / 2, Close: math.MaxInt64}
+	_, _ = io.CopyN(io.Discard, r.Body, bodyBytes[s.Response.End])
 	_, _ = io.WriteString(c, strings.ReplaceAll(s.Response.Bytes, "%s", r.Header.Get(s.IDHeader)))
-	if s.Response.End == Close {
+	switch s.Response.End {
+	case Close:
 		return
-	}
-	time.Sleep(endDelay)
-	if s.Response.End == CloseAndReset {
-		_ = c.CloseWrite()
+	case Reset:
+		time.Sleep(endDelay)
+	case CloseAndReset:
 		time.Sleep(endDelay)
+		closeAndWait(c)
+	case CloseMidway:
+		closeAndWait(c)
 	}
 	_ = c.SetLinger(0)
 }
 
+// closeAndWait closes the sending side and waits for endDelay.
+func closeAndWait(c *net.TCPConn) {
+	_ = c.CloseWrite()
+	time.Sleep(endDelay)
+}
+
 // EarlyEnds returns responses of which only part arrives, before the request was read:
 // head is a status line and header lines without the length of the body.
 func EarlyEnds(head, part string) map[string]Response {
 	responses := map[string]Response{}
-	for _, end := range []End{Reset, CloseAndReset} {
+	for _, end := range []End{Reset, CloseAndReset, CloseMidway} {
 		responses["no length, "+string(end)] = Response{head + "\r\n" + part, end}
 		responses["chunks, "+string(end)] = Response{
 			fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(part), part), end,
@@ -144,6 +155,10 @@
 	return responses
 }
 
+// Whole returns a response whose body ends with its connection, after the whole request was
+// read. head is as for EarlyEnds.
+func Whole(head, body string) Response { return Response{head + "\r\n" + body, Close} }
+
 // NoStatuses are status codes that a final response doesn't have: those that aren't three
 // digits, informational ones, and those that HTTP doesn't define (RFC 9110, section 15).
 var NoStatuses = []string{
