--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/backendconn"
 	"bilberryhub/internal/claim"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/wirepb"
@@ -85,6 +86,12 @@
 		refErr.Run = refusal.RunYes
 		return refErr, false
 	}
+	// Earlier builds recorded such responses.
+	if backendconn.CheckStatus(int(o.GetStatus())) != nil {
+		refErr := refusal.New(refusal.IdempotencyInProgress, "the request was run; its answer had a status that HTTP doesn't define")
+		refErr.Run = refusal.RunYes
+		return refErr, false
+	}
 	if ct := o.GetContentType(); ct != "" {
 		w.Header().Set("Content-Type", ct)
 	}
--- a/internal/entry/claimed_test.go
+++ b/internal/entry/claimed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -44,3 +45,18 @@
 		}
 	}
 }
+
+// Guards against a recorded response of an earlier build whose status HTTP doesn't define, and
+// which the caller gets, or which ends the connection with a panic.
+func TestRecordedUndefinedStatusIsNotReplayed(t *testing.T) {
+	for status, want := range map[uint32]bool{0: false, 99: false, 101: false, 200: true, 503: true, 599: true, 600: false, 999: false, 2000: false} {
+		w := httptest.NewRecorder()
+		refErr, isStarted := replayOutcome(w, claim.Result{Recorded: &wirepb.ClaimOutcome{Kind: wirepb.ClaimOutcome_KIND_DONE, Status: status}})
+		if isStarted != want || (refErr == nil) != want {
+			t.Errorf("status %d: response started %v, refusal %v", status, isStarted, refErr)
+		}
+		if refErr != nil && refErr.Run != refusal.RunYes {
+			t.Errorf("status %d: run %q", status, refErr.Run)
+		}
+	}
+}
