--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -23,6 +23,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
+	"bilberryhub/internal/backendconn"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
 )
@@ -278,11 +279,14 @@
 // reports whether the backend server has ended in an orderly way, and tells a caller that
 // reads frames.
 func copyResponse(to caller, from net.Conn) (isOrderly bool) {
+	source := backendconn.Reader{Conn: from}
 	if !to.readsFrames {
-		return copyBytes(to, from) == nil
+		return copyBytes(to, source) == nil
 	}
 	frames := &frameWriter{w: to}
-	return copyBytes(frames, from) == nil && frames.end() == nil
+	// The rest of the request may still be on its way from the caller, which doesn't see what
+	// becomes of it. Only a response that ends with its connection waits for this.
+	return copyBytes(frames, source) == nil && backendconn.SettledEndError(from) == nil && frames.end() == nil
 }
 
 // copyBytes copies until one side ends, and returns nil if from has ended in an orderly
