placement: short requests may be spread, with room that follows the load

Cause: all gateways choose the same engine until they know of each other's choices, and short prompts prefer full engines at their end of the shared order to free ones further away. Change: policies ShortRoom and Spread, settings placement.short_room and placement.spread of a gateway. Without them the choice is as before. The caller draws the random numbers.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -244,7 +244,7 @@
 	for i, c := range list {
 		e := placement.Engine{
 			Index: i, Slots: max(1, c.server.Slots), Remote: c.server.FailureDomain != g.settings.FailureDomain,
-			Rank: orderPosition(c.key),
+			Rank: orderPosition(c.key), Random: g.random(),
 			Load: enginemodel.NewLoad(spec, c.works, ms(now), c.condition.slowness),
 			Risk: c.condition.failureShare * req.Value, Cold: now < c.server.ColdUntil || c.spare,
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -37,6 +37,9 @@
 	// helpers: it would gain little time and depend on every engine that takes
 	// part.
 	shortPrefillMs = 160
+	// maxShortRoom leaves the other end of the shared order to long prompts when nearly
+	// all slots are occupied.
+	maxShortRoom = 0.75
 	// remoteCostShare is the cost of leaving the local failure domain, as a
 	// share of the request's value.
 	remoteCostShare = 0.002
@@ -87,6 +90,15 @@
 	// SlotWait counts the expected wait for a slot among the costs that are compared.
 	// Without it a full engine is chosen as long as its prefills would be in time.
 	SlotWait bool `json:"slot_wait"`
+	// ShortRoom is the part of the shared order, in multiples of the share of occupied
+	// slots, within which short prompts don't prefer the engines nearer to their end.
+	// Without it they fill engines at their end while others have most slots free. The
+	// part is at most maxShortRoom.
+	ShortRoom float64 `json:"short_room"`
+	// Spread is the width of the random offset to the position of each engine in the
+	// shared order, for short prompts. Without it gateways that don't know of each
+	// other's choices yet choose the same engine.
+	Spread float64 `json:"spread"`
 }
 
 // Engine is one candidate engine.
@@ -97,6 +109,8 @@
 	Slots int
 	// Rank is the position in the order that all gateways share, from 0 to 1.
 	Rank float64
+	// Random is a random number from 0 to 1, drawn by the caller for each choice.
+	Random float64
 	// Remote is set if the engine is outside the failure domain of the process
 	// that places the request.
 	Remote bool
@@ -165,6 +179,9 @@
 // Choose returns the placement with the lowest loss, and false if no engine can
 // hold the request. now is in ms on the clock of the engines' Work.
 func (p Policy) Choose(spec *manifest.Engine, r Request, engines []Engine, now float64) (Choice, bool) {
+	if !isLong(spec, r) {
+		engines = p.spreadShort(engines)
+	}
 	best, found := Choice{Loss: math.Inf(1)}, false
 	holders, heldTokens := r.splitMemory(spec)
 	for _, parts := range partCounts {
@@ -189,6 +206,24 @@
 	return best, found
 }
 
+// spreadShort returns the engines with their positions in the order for a short prompt.
+func (p Policy) spreadShort(engines []Engine) []Engine {
+	if p.ShortRoom <= 0 && p.Spread <= 0 {
+		return engines
+	}
+	open, slots := 0, 0
+	for i := range engines {
+		open += min(engines[i].Load.OpenRequests, engines[i].Slots)
+		slots += engines[i].Slots
+	}
+	room := min(maxShortRoom, p.ShortRoom*float64(open)/float64(max(1, slots)))
+	engines = slices.Clone(engines)
+	for i := range engines {
+		engines[i].Rank = max(0, engines[i].Rank-room) + p.Spread*engines[i].Random
+	}
+	return engines
+}
+
 // isLong reports whether the prefill of the prompt on a single engine counts as
 // long.
 func isLong(spec *manifest.Engine, r Request) bool {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"bilberryhub/internal/enginemodel"
@@ -77,3 +79,73 @@
 		t.Error("a short prompt is deferred")
 	}
 }
+
+// busyEngines returns n engines of which the first ones hold as many decoding requests as
+// stated, and the random numbers of a sequence that is the same in each run.
+func busyEngines(n int, rng *rand.Rand, open ...int) []Engine {
+	out := engines(n)
+	for i, count := range open {
+		var works []enginemodel.Work
+		for k := range count {
+			works = append(works, enginemodel.Work{Request: uint64(100*i + k + 1), PromptTokens: 5_000, PartTokens: 5_000, OutputTokens: 600, Decoding: true})
+		}
+		out[i].Load = enginemodel.NewLoad(testSpec, works, 0, 1)
+	}
+	for i := range out {
+		out[i].Random = rng.Float64()
+	}
+	return out
+}
+
+// chosenEngines returns how many different engines a policy chooses in 100 choices on the
+// same load, as gateways do that don't know of each other's choices, and the highest
+// Index among them.
+func chosenEngines(t *testing.T, p Policy, prompt float64, open ...int) (different, highest int) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(1, 1))
+	chosen := map[int]bool{}
+	for range 100 {
+		c, ok := p.Choose(testSpec, request(prompt, 300), busyEngines(16, rng, open...), 0)
+		if !ok {
+			t.Fatal("no engine was chosen")
+		}
+		chosen[c.First] = true
+		highest = max(highest, c.First)
+	}
+	return len(chosen), highest
+}
+
+// Guards against gateways that all choose the same engine within the time in which they
+// don't know of each other's choices, and against long prompts that leave their end of the
+// order.
+func TestSpreadChoosesDifferentEngines(t *testing.T) {
+	if n, _ := chosenEngines(t, Policy{}, 5_000); n != 1 {
+		t.Errorf("the present behavior chooses %d engines on the same load, expected 1", n)
+	}
+	if n, _ := chosenEngines(t, Policy{Spread: 0.6}, 5_000); n < 4 {
+		t.Errorf("with a spread %d engines are chosen, expected at least 4", n)
+	}
+	if n, _ := chosenEngines(t, Policy{ShortRoom: 1.2, Spread: 0.6}, 45_000); n != 1 {
+		t.Errorf("a prompt of 45,000 tokens goes to %d engines, expected 1", n)
+	}
+}
+
+// Guards against short prompts that fill engines at their end of the order while others
+// have all slots free, and against a room for them that takes the end of the long ones.
+func TestShortRoomFollowsOccupiedSlots(t *testing.T) {
+	half := []int{10, 10, 10, 10, 10, 10, 10, 10, 10, 10, 10, 10}
+	if _, highest := chosenEngines(t, Policy{}, 5_000, half...); highest != 0 {
+		t.Errorf("the present behavior chooses engine %d of half occupied ones, expected 0", highest)
+	}
+	room := Policy{ShortRoom: 1.2, Spread: 0.01}
+	if n, highest := chosenEngines(t, room, 5_000, half...); n < 4 || highest > 9 {
+		t.Errorf("with room for short prompts %d engines up to %d are chosen, expected at least 4 up to 9", n, highest)
+	}
+	if _, highest := chosenEngines(t, room, 5_000); highest != 0 {
+		t.Errorf("engine %d of idle ones is chosen, expected 0", highest)
+	}
+	full := slices.Repeat([]int{16}, 16)
+	if _, highest := chosenEngines(t, room, 5_000, full...); highest > 12 {
+		t.Errorf("engine %d of full ones is chosen, expected those up to 12", highest)
+	}
+}
