fleetsim: many gateways that choose, each on a view of its own

Cause: the simulation had one chooser that knows all, so that it could not show what gateways do that don't know of each other's latest choices. Change: Gateways with load shares that are late or lost, and that freeze or stop; slots with a queue, engines of unequal speed; a heap of passes in place of a scan, with the same results. TestShortRequestsFindFreeSlots asserts the recommended policy, TestComparison prints all of them (-args -full).

--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -12,6 +12,7 @@
 package fleetsim
 
 import (
+	"container/heap"
 	"math"
 	"slices"
 
@@ -45,8 +46,14 @@
 	PredictedMs               float64
 	Helpers                   int
 	Refused                   bool
+	// ChosenMs is when the engine was chosen, OpenAtChoice the number of requests that
+	// it held then, and FreeShare the share of all slots that were free then.
+	ChosenMs     float64
+	OpenAtChoice int
+	FreeShare    float64
 
 	id              uint64
+	gateway         int
 	pendingParts    int
 	primary         *engine
 	parts           []*promptPart
@@ -71,12 +78,19 @@
 	done    bool
 }
 
+// endedPart is an ended part of a prompt, at the gateway that sent it.
+type endedPart struct {
+	enginemodel.Work
+	gateway int
+	endedMs float64
+}
+
 // engine is one simulated engine. It holds the parts of open requests, ended parts
 // that load predictions may still need, and the requests that are decoding.
 type engine struct {
 	index     int
 	parts     []*promptPart
-	ended     []enginemodel.Work
+	ended     []endedPart
 	passEndMs float64
 	// completing holds the parts whose prefill the current pass completes.
 	completing []*promptPart
@@ -89,6 +103,7 @@
 	Spec    *manifest.Engine
 	Classes []Class
 	engines []*engine
+	passes  passQueue
 	now     float64
 	nextID  uint64
 	// waiting holds the requests that are not placed on an engine yet.
@@ -99,6 +114,17 @@
 	Slots int
 	// OutOfService holds the indexes of engines that get no new requests.
 	OutOfService map[int]bool
+	// Policy is the policy of the choices.
+	Policy placement.Policy
+	// Gateways choose, each on its own view; nil means one chooser that knows all.
+	Gateways *Gateways
+	// QueuesForSlots is set if requests beyond the slots of an engine wait for a slot
+	// before their prefill, in order of arrival.
+	QueuesForSlots bool
+	// Slowness holds a factor on all times of each engine; nil means 1. Choices use
+	// it if IsSlownessKnown is set.
+	Slowness        []float64
+	IsSlownessKnown bool
 }
 
 // New returns an idle fleet of the given number of engines.
@@ -117,9 +143,22 @@
 	f.nextID++
 	r := &Request{Class: class, ArrivedMs: at, PromptTokens: prompt, OutputTokens: output, id: f.nextID}
 	f.Requests = append(f.Requests, r)
+	if f.Gateways != nil {
+		r.gateway = f.Gateways.pick(at)
+		if retryMs := f.Gateways.frozenUntilMs(r.gateway, at); retryMs > at {
+			f.placeLater(r, retryMs)
+			return
+		}
+	}
 	f.place(r)
 }
 
+// placeLater places a request at a later time, in ms.
+func (f *Fleet) placeLater(r *Request, at float64) {
+	r.retryMs = at
+	f.waiting = append(f.waiting, r)
+}
+
 // advanceAndRetry advances to the time to, in ms, and retries the placement of
 // waiting requests whose retry time falls within it.
 func (f *Fleet) advanceAndRetry(to float64) {
@@ -148,18 +187,20 @@
 	c := f.Classes[r.Class]
 	value := placement.EstimateValue(prompt, output)
 	elapsed := at - r.ArrivedMs
-	choice, ok := (placement.Policy{}).Choose(f.Spec, placement.Request{
+	candidates := f.candidates(r.gateway)
+	choice, ok := f.Policy.Choose(f.Spec, placement.Request{
 		PromptTokens: prompt, OutputTokens: output, ObjectiveMs: max(1, c.ObjectiveMs-elapsed), AbandonMs: c.AbandonMs - elapsed, Value: value,
-	}, f.candidates(), at)
-	if ok && choice.Defer {
-		r.retryMs = at + placement.DeferStepMs
-		f.waiting = append(f.waiting, r)
+	}, candidates, at)
+	if ok && choice.Defer && f.Gateways.mayDefer(elapsed, c.ObjectiveMs) {
+		f.placeLater(r, at+f.Gateways.deferStepMs())
 		return
 	}
 	if !ok {
 		r.Refused = true
 		return
 	}
+	r.ChosenMs, r.OpenAtChoice, r.FreeShare = at, f.engines[choice.First].openRequests(), f.freeShare()
+	f.Gateways.recordNew(r.gateway, at)
 	r.PredictedMs, r.Helpers, r.primary = choice.FirstEventMs, len(choice.Helpers), f.engines[choice.First]
 	partTokens := prompt / float64(1+len(choice.Helpers))
 	for i, index := range append([]int{choice.First}, choice.Helpers...) {
@@ -178,7 +219,10 @@
 }
 
 // candidates returns the engines in service, with their load, as a gateway sees them.
-func (f *Fleet) candidates() []placement.Engine {
+func (f *Fleet) candidates(gateway int) []placement.Engine {
+	if f.Gateways != nil {
+		return f.Gateways.candidates(f, gateway)
+	}
 	var out []placement.Engine
 	for _, e := range f.engines {
 		if f.OutOfService[e.index] {
@@ -194,40 +238,94 @@
 		}
 		for _, part := range e.ended {
 			if part.DoneMs > oldest {
-				parts = append(parts, part)
+				parts = append(parts, part.Work)
 			}
 		}
 		out = append(out, placement.Engine{
 			Index: e.index, Slots: f.Slots, Rank: (float64(e.index) + 0.5) / float64(len(f.engines)),
-			Load: enginemodel.NewLoad(f.Spec, parts, f.now, 1),
+			Load: enginemodel.NewLoad(f.Spec, parts, f.now, f.knownSlowness(e.index)),
 		})
 	}
 	return out
 }
 
+// openRequests returns the number of requests at an engine, without the parts that it
+// prefills for others.
+func (e *engine) openRequests() int {
+	n := 0
+	for _, part := range e.parts {
+		if !part.Helper {
+			n++
+		}
+	}
+	return n
+}
+
+// freeShare returns the share of the slots of all engines that are free.
+func (f *Fleet) freeShare() float64 {
+	free := 0
+	for _, e := range f.engines {
+		free += max(0, f.Slots-e.openRequests())
+	}
+	return float64(free) / float64(f.Slots*len(f.engines))
+}
+
+// slowness returns the factor on the times of an engine, knownSlowness what choices
+// know of it.
+func (f *Fleet) slowness(i int) float64 {
+	if f.Slowness == nil {
+		return 1
+	}
+	return f.Slowness[i]
+}
+
+func (f *Fleet) knownSlowness(i int) float64 {
+	if !f.IsSlownessKnown {
+		return 1
+	}
+	return f.slowness(i)
+}
+
 // Advance simulates all passes that end at or before the time to, in ms.
 func (f *Fleet) Advance(to float64) {
-	for {
-		var next *engine
-		for _, e := range f.engines {
-			if e.inPass && e.passEndMs <= to && (next == nil || e.passEndMs < next.passEndMs) {
-				next = e
-			}
-		}
-		if next == nil {
-			f.now = to
-			return
-		}
+	for len(f.passes) > 0 && f.passes[0].passEndMs <= to {
+		next := heap.Pop(&f.passes).(*engine)
 		f.now = next.passEndMs
 		f.endPass(next)
 	}
+	f.now = to
 }
 
-// prefillOrder returns the parts that wait at an engine, in the order of prefill.
-func (e *engine) prefillOrder() []*promptPart {
+// passQueue is a heap of the engines that are in a pass, by its end and the index.
+type passQueue []*engine
+
+func (q passQueue) Len() int { return len(q) }
+func (q passQueue) Less(i, j int) bool {
+	if q[i].passEndMs != q[j].passEndMs {
+		return q[i].passEndMs < q[j].passEndMs
+	}
+	return q[i].index < q[j].index
+}
+func (q passQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *passQueue) Push(e any)   { *q = append(*q, e.(*engine)) }
+func (q *passQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// prefillOrder returns the parts that wait at an engine, in the order of prefill,
+// without requests that wait for one of its slots.
+func (e *engine) prefillOrder(slots int) []*promptPart {
 	var split, whole []*promptPart
+	open := 0
 	for _, part := range e.parts {
+		if !part.Helper {
+			open++
+		}
 		switch {
+		case !part.Helper && open > slots:
 		case part.done || part.Decoding:
 		case part.PartTokens < part.PromptTokens:
 			split = append(split, part)
@@ -241,7 +339,10 @@
 
 // startPass starts the next pass of an engine, or leaves the engine idle if there is no work.
 func (f *Fleet) startPass(e *engine) {
-	steps, contextTokens := 1, 0.0
+	steps, contextTokens, slots := 1, 0.0, math.MaxInt
+	if f.QueuesForSlots {
+		slots = f.Slots
+	}
 	if len(e.decoding) > 0 {
 		steps = f.Spec.Stride
 		for _, r := range e.decoding {
@@ -251,7 +352,7 @@
 	durationMs := enginemodel.PassMs(f.Spec, len(e.decoding), contextTokens) / float64(max(1, f.Spec.Stride)) * float64(steps)
 	tokens := float64(steps) * float64(f.Spec.ChunkTokens)
 	e.completing = nil
-	for _, part := range e.prefillOrder() {
+	for _, part := range e.prefillOrder(slots) {
 		if tokens <= 0 {
 			break
 		}
@@ -265,11 +366,12 @@
 			e.completing = append(e.completing, part)
 		}
 	}
-	if len(e.decoding) == 0 && len(e.completing) == 0 && len(e.prefillOrder()) == 0 {
+	if len(e.decoding) == 0 && len(e.completing) == 0 && len(e.prefillOrder(slots)) == 0 {
 		e.inPass = false
 		return
 	}
-	e.inPass, e.passEndMs = true, f.now+durationMs
+	e.inPass, e.passEndMs = true, f.now+durationMs*f.slowness(e.index)
+	heap.Push(&f.passes, e)
 }
 
 // endPass emits the events of the pass that ends now and starts the next one.
@@ -301,6 +403,7 @@
 		}
 		part.Decoding, part.DoneMs = true, f.now
 	}
+	f.Gateways.recordProgress(r.gateway, f.now)
 	r.primary.decoding = append(r.primary.decoding, r)
 	if !r.primary.inPass {
 		f.startPass(r.primary)
@@ -319,17 +422,18 @@
 	r.EndedMs = f.now
 	r.primary.decoding = slices.DeleteFunc(r.primary.decoding, func(o *Request) bool { return o == r })
 	r.primary.removePart(r.parts[0], f.now)
+	f.Gateways.recordProgress(r.gateway, f.now)
 }
 
 // removePart moves a part from the open parts of the engine to the ended ones, and
 // drops ended parts that were done more than 12 s ago.
 func (e *engine) removePart(part *promptPart, now float64) {
 	e.parts = slices.DeleteFunc(e.parts, func(o *promptPart) bool { return o == part })
-	ended := part.Work
+	ended := endedPart{Work: part.Work, gateway: part.request.gateway, endedMs: now}
 	if !ended.Decoding {
 		ended.DoneMs = now
 	}
 	ended.Ended = true
-	e.ended = slices.DeleteFunc(e.ended, func(p enginemodel.Work) bool { return p.DoneMs < now-12_000 })
+	e.ended = slices.DeleteFunc(e.ended, func(p endedPart) bool { return p.DoneMs < now-12_000 })
 	e.ended = append(e.ended, ended)
 }
--- a/internal/fleetsim/load.go
+++ b/internal/fleetsim/load.go
@@ -17,6 +17,9 @@
 // for each class; prompt lengths are log-normal.
 func (f *Fleet) Run(phases []Phase, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 1))
+	if f.Gateways != nil {
+		f.Gateways.start(len(f.engines), seed)
+	}
 	nextMs := make([]float64, len(f.Classes))
 	startMs := 0.0
 	for _, phase := range phases {
