gateway: a policy of placement for many gateways; cost of leaving the failure domain

Cause: many gateways take the same engine before they learn of each other's choices, and what other failure domains send is known later than what the own one does. Explanations count the same costs.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -145,6 +145,8 @@
 	err  error
 	// list holds the candidates that were compared.
 	list []candidate
+	// policy is the one of the placement of model requests.
+	policy placement.Policy
 	// engines and request are what the placement of a model request is based on, and choice
 	// its result if isPlaced is set.
 	engines  []placement.Engine
@@ -190,7 +192,7 @@
 // decide chooses a backend server or refuses. It changes nothing, apart from what the
 // situation's condition does, so that an explanation runs the same code as a choice.
 func (g *Gateway) decide(s *situation, r *request, service *manifest.RoutedService, excluded []string) decision {
-	var d decision
+	d := decision{policy: g.settings.Placement.policy(s.gateways)}
 	d.err = g.collect(s, &d, service, excluded)
 	if d.err != nil {
 		return d
@@ -380,7 +382,7 @@
 	if d.request.PromptTokens+d.request.OutputTokens > float64(spec.CapacityTokens)*float64(min(len(d.list), placement.MaxHelpers+1)) {
 		return errTooLarge
 	}
-	d.choice, d.isPlaced = g.settings.Placement.Choose(spec, d.request, d.engines, ms(now))
+	d.choice, d.isPlaced = d.policy.Choose(spec, d.request, d.engines, ms(now))
 	if !d.isPlaced {
 		return errFull
 	}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -228,7 +228,7 @@
 	if d.isPlaced {
 		parts = d.choice.Parts()
 	}
-	for _, cost := range g.settings.Placement.Costs(service.Engine, d.request, d.engines, parts, ms(now)) {
+	for _, cost := range d.policy.Costs(service.Engine, d.request, d.engines, parts, ms(now)) {
 		out[d.list[cost.Index].key] = func(c *explain.Candidate) { setEngineCost(c, cost) }
 	}
 	return out
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -56,7 +56,23 @@
 	// MemoryMB is the memory limit of the process; 0 means no limit.
 	MemoryMB int64 `json:"memory_mb"`
 	// Placement selects what the choice of an engine takes into account.
-	Placement placement.Policy `json:"placement"`
+	Placement PlacementSettings `json:"placement"`
+}
+
+// PlacementSettings is a policy and where it applies.
+type PlacementSettings struct {
+	placement.Policy
+	// MinGateways is the number of gateways from which on the policy applies. Few gateways
+	// learn of each other's choices before they choose the same engine.
+	MinGateways int `json:"min_gateways"`
+}
+
+// policy returns the policy of one of a number of gateways.
+func (s PlacementSettings) policy(gateways int) placement.Policy {
+	if gateways < s.MinGateways {
+		return placement.Policy{}
+	}
+	return s.Policy
 }
 
 // Defaults of optional settings.
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -21,11 +21,13 @@
 		}
 		return LoadSettings(path)
 	}
-	if s, err := load(""); err != nil || s.Placement != (placement.Policy{}) {
+	if s, err := load(""); err != nil || s.Placement != (PlacementSettings{}) {
 		t.Errorf("without the setting: policy %+v, error %v", s.Placement, err)
 	}
-	s, err := load(`, "placement": {"slot_wait": true, "short_room": 1.2, "spread": 0.6}`)
-	if expected := (placement.Policy{SlotWait: true, ShortRoom: 1.2, Spread: 0.6}); err != nil || s.Placement != expected {
+	s, err := load(`, "placement": {"slot_wait": true, "short_room": 1.2, "spread": 0.6, "remote_share": 0.08, "min_gateways": 32}`)
+	if expected := (PlacementSettings{
+		Policy: placement.Policy{SlotWait: true, ShortRoom: 1.2, Spread: 0.6, RemoteShare: 0.08}, MinGateways: 32,
+	}); err != nil || s.Placement != expected {
 		t.Errorf("policy %+v, expected %+v, error %v", s.Placement, expected, err)
 	}
 	for _, wrong := range []string{`{"spred": 1}`, `{"spread": -1}`, `{"short_room": true}`} {
@@ -34,3 +36,15 @@
 		}
 	}
 }
+
+// Guards against a policy that reaches deployments of few gateways, which are served as
+// before.
+func TestPolicyAppliesFromANumberOfGateways(t *testing.T) {
+	s := PlacementSettings{Policy: placement.Policy{SlotWait: true}, MinGateways: 32}
+	if p := s.policy(31); p != (placement.Policy{}) {
+		t.Errorf("the policy of 31 gateways is %+v", p)
+	}
+	if p := s.policy(32); !p.SlotWait {
+		t.Errorf("the policy of 32 gateways is %+v", p)
+	}
+}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -40,18 +40,21 @@
 // engines, as Choose compares it. now is in ms on the clock of the engines' Work. It is for
 // explanations: Choose needs no parts.
 func (p Policy) Costs(spec *manifest.Engine, r Request, engines []Engine, parts int, now float64) []Cost {
+	if !isLong(spec, r) {
+		engines = p.spreadShort(engines)
+	}
 	holders, heldTokens := r.splitMemory(spec)
 	partTokens := r.PromptTokens / float64(parts)
 	out := make([]Cost, 0, len(engines))
 	for _, e := range engines {
-		s := score(spec, r, e, partTokens, now)
+		s := p.score(spec, r, e, partTokens, now)
 		c := Cost{
 			Index: e.Index, CanHold: canHold(spec, r, e, heldTokens*float64(holders)), FirstEventMs: s.firstEventMs,
 			SlotWaitMs: slotWaitMs(r, e), FirstEvent: r.loss(s.firstEventMs), Risk: e.Risk,
 		}
 		e.Load.VisitLosses(r.PromptTokens, partTokens, now, lateValueShare, func(_ uint64, lost float64) { c.Others += lost })
 		if e.Remote {
-			c.Remote = remoteCostShare * r.Value
+			c.Remote = p.remoteShare() * r.Value
 		}
 		if e.Cold {
 			c.Cold = coldCostShare * r.Value
--- a/internal/placement/cost_test.go
+++ b/internal/placement/cost_test.go
@@ -76,7 +76,7 @@
 		list := randomEngines(rng)
 		r := request(45_000, 1500)
 		for i, c := range (Policy{}).Costs(testSpec, r, list, 2, 0) {
-			want := score(testSpec, r, list[i], 22_500, 0).cost + decodeCostOn(testSpec, r, list[i])
+			want := (Policy{}).score(testSpec, r, list[i], 22_500, 0).cost + decodeCostOn(testSpec, r, list[i])
 			if math.Abs(c.Total()-want) > 1e-9*max(1, want) {
 				t.Fatalf("the parts add up to %v, the cost is %v: %+v", c.Total(), want, c)
 			}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -99,6 +99,9 @@
 	// shared order, for short prompts. Without it gateways that don't know of each
 	// other's choices yet choose the same engine.
 	Spread float64 `json:"spread"`
+	// RemoteShare is the cost of leaving the local failure domain, as a share of the
+	// request's value. It replaces remoteCostShare if it is larger.
+	RemoteShare float64 `json:"remote_share"`
 }
 
 // Engine is one candidate engine.
@@ -245,7 +248,7 @@
 	scores := make([]scoredEngine, 0, len(engines))
 	first := -1
 	for _, e := range engines {
-		s := score(spec, r, e, partTokens, now)
+		s := p.score(spec, r, e, partTokens, now)
 		if !canHold(spec, r, e, heldTokens*float64(holders)) {
 			scores = append(scores, s)
 			continue
@@ -306,11 +309,11 @@
 }
 
 // score returns the cost of prefilling a part of the prompt on one engine.
-func score(spec *manifest.Engine, r Request, e Engine, partTokens, now float64) scoredEngine {
+func (p Policy) score(spec *manifest.Engine, r Request, e Engine, partTokens, now float64) scoredEngine {
 	s := scoredEngine{Engine: e, firstEventMs: e.Load.FirstEventMs(r.PromptTokens, partTokens)}
 	s.baseCost = e.Risk
 	if e.Remote {
-		s.baseCost += remoteCostShare * r.Value
+		s.baseCost += p.remoteShare() * r.Value
 	}
 	if e.Cold {
 		s.baseCost += coldCostShare * r.Value
@@ -321,6 +324,10 @@
 	return s
 }
 
+// remoteShare returns the cost of leaving the local failure domain, as a share of the
+// request's value.
+func (p Policy) remoteShare() float64 { return max(remoteCostShare, p.RemoteShare) }
+
 // slotWaitMs returns the expected wait for a slot of an engine.
 func slotWaitMs(r Request, e Engine) float64 {
 	over := e.Load.OpenRequests - e.Slots + 1
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -149,3 +149,63 @@
 		t.Errorf("engine %d of full ones is chosen, expected those up to 12", highest)
 	}
 }
+
+// shortWave returns engines of which the first half, in the shared order, has no free slot
+// because of a wave of short requests, while the other half is idle.
+func shortWave() []Engine {
+	list := engines(16)
+	for i := range 8 {
+		var works []enginemodel.Work
+		for k := range list[i].Slots + 1 {
+			works = append(works, enginemodel.Work{
+				Request: uint64(100*i + k + 1), SentMs: -500, DoneMs: -300, PromptTokens: 5_000, PartTokens: 5_000, OutputTokens: 1_400,
+				Decoding: true, PauseMs: 250, ObjectiveMs: 300, Value: EstimateValue(5_000, 1_400),
+			})
+		}
+		list[i].Load = enginemodel.NewLoad(testSpec, works, 0, 1)
+	}
+	return list
+}
+
+// Guards against short requests that wait for a slot while half of the engines are idle, in
+// a wave of short requests: the wait was added to the prediction only after the choice.
+func TestWaitForASlotIsPartOfTheChoice(t *testing.T) {
+	r := request(5_000, 300)
+	r.OutputTokens = 1_400
+	before, ok := (Policy{}).Choose(testSpec, r, shortWave(), 0)
+	if !ok || before.First >= 8 {
+		t.Fatalf("engine %d, found %v: the shared order should lead to a full engine without the policy", before.First, ok)
+	}
+	after, ok := (Policy{SlotWait: true}).Choose(testSpec, r, shortWave(), 0)
+	if !ok || after.First < 8 {
+		t.Errorf("engine %d without a free slot is chosen while others are idle, found %v", after.First, ok)
+	}
+	if after.FirstEventMs >= before.FirstEventMs {
+		t.Errorf("the first event is predicted after %.0f ms, at the full engine after %.0f ms", after.FirstEventMs, before.FirstEventMs)
+	}
+}
+
+// Guards against work that leaves its failure domain for a small gain, where the load is
+// known later and each byte crosses a slow link, and against work that stays at engines
+// without a free slot while other failure domains are idle.
+func TestRemoteShare(t *testing.T) {
+	list := engines(8)
+	for i := range list {
+		list[i].Remote = i < 4
+	}
+	r := request(5_000, 300)
+	if c, _ := (Policy{}).Choose(testSpec, r, list, 0); c.First != 0 {
+		t.Errorf("engine %d is chosen without the policy", c.First)
+	}
+	p := Policy{SlotWait: true, RemoteShare: 0.6}
+	if c, _ := p.Choose(testSpec, r, list, 0); c.First != 4 {
+		t.Errorf("engine %d is chosen, not one of the own failure domain", c.First)
+	}
+	full := shortWave()
+	for i := 4; i < 8; i++ {
+		list[i].Load = full[i].Load
+	}
+	if c, _ := p.Choose(testSpec, r, list, 0); c.First != 0 {
+		t.Errorf("engine %d without a free slot is chosen while other failure domains are idle", c.First)
+	}
+}
