exchange: send the body of a request without copying it

Cause: a request over 16 KiB was copied into one message, so that a gateway held each body that it passes on twice. Change: head and body are written by net.Buffers. Response.Length returns the stated length of a body.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -333,16 +333,17 @@
 // responses to earlier requests.
 func (p *Pool) exchange(c *conn, r Request) (*Response, error) {
 	c.written = make(chan struct{})
-	message := encode(r)
-	if len(message) <= maxBlockingWriteBytes {
-		_, c.writeErr = c.Write(message)
+	head := encodeHead(r)
+	if len(head)+len(r.Body) <= maxBlockingWriteBytes {
+		_, c.writeErr = c.Write(append(head, r.Body...))
 		close(c.written)
 		if c.writeErr != nil {
 			return nil, errors.Annotatef(c.writeErr, "send to %s", c.address)
 		}
 	} else {
 		go func() {
-			_, c.writeErr = c.Write(message)
+			// The body isn't copied: the memory of callers is counted once.
+			_, c.writeErr = (&net.Buffers{head, r.Body}).WriteTo(c.Conn)
 			close(c.written)
 		}()
 	}
@@ -425,10 +426,10 @@
 	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
-// encode returns the request as it is written to the connection.
-func encode(r Request) []byte {
+// encodeHead returns the request without its body as it is written to the connection.
+func encodeHead(r Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -442,7 +443,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
@@ -464,6 +464,10 @@
 	return n, err
 }
 
+// Length returns the length of the body that the head states, in bytes, or -1 if it states
+// none.
+func (resp *Response) Length() int64 { return resp.parsed.ContentLength }
+
 // Complete reports whether the body was read to its end.
 func (resp *Response) Complete() bool { return resp.complete }
 
