--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -80,9 +80,8 @@
 
 // Budget limits the bytes that are held. It is safe for concurrent use.
 type Budget struct {
+	mu       sync.Mutex
 	capacity int64
-
-	mu sync.Mutex
 	// held is the sum of all reservations, by holder and in total.
 	holders map[string]sizes
 	held    sizes
@@ -112,6 +111,14 @@
 	return &Budget{capacity: capacity, holders: map[string]sizes{}}
 }
 
+// SetCapacity changes the capacity, because the largest legal body may change with the
+// configuration. What is held beyond a smaller capacity stays.
+func (b *Budget) SetCapacity(capacity int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.capacity = capacity
+}
+
 // Held returns the bytes that are held.
 func (b *Budget) Held() int64 {
 	b.mu.Lock()
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -238,3 +238,25 @@
 		}
 	})
 }
+
+// Guards against a body of a legal size that is refused in calm conditions because the
+// configuration has raised the limit of a body since the start.
+func TestSetCapacity(t *testing.T) {
+	b := New(Capacity(1, 0, 0))
+	if _, err := b.Reserve("a", 3<<20); err == nil {
+		t.Fatal("3 MiB fit a budget of 1 MiB")
+	}
+	b.SetCapacity(Capacity(1, 0, 3<<20))
+	r, err := b.Reserve("a", 3<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.SetCapacity(Capacity(1, 0, 0))
+	if _, err := b.Reserve("b", 1); err == nil {
+		t.Error("a byte fits although more than the capacity is held")
+	}
+	r.Release()
+	if _, err := b.Reserve("b", 1); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/membudget/read.go
+++ b/internal/membudget/read.go
@@ -25,7 +25,7 @@
 // The error is a *TooLargeError for a body over the limit, which for an announced length
 // is found before any of it is read, a *FullError for one that does not fit the budget,
 // and otherwise that of the reader, which is io.ErrUnexpectedEOF for a body that is
-// shorter than announced.
+// shorter than announced. With a *FullError, Read returns the part that was read before.
 func Read(r *Reservation, body io.Reader, length, limit int64) ([]byte, error) {
 	if length > limit {
 		return nil, errors.Trace(&TooLargeError{Limit: limit})
@@ -57,7 +57,7 @@
 			}
 			larger := min(max(2*int64(cap(buf)), firstStepBytes), limit)
 			if err := r.Grow(larger - int64(cap(buf))); err != nil {
-				return nil, errors.Trace(err)
+				return buf, errors.Trace(err)
 			}
 			buf = append(make([]byte, 0, larger), buf...)
 		}
--- a/internal/membudget/read_test.go
+++ b/internal/membudget/read_test.go
@@ -90,3 +90,18 @@
 		t.Errorf("%d bytes were read", 3-body.Len())
 	}
 }
+
+// Guards against the loss of what was read of a response before the budget was full: it is
+// passed on then.
+func TestReadReturnsPartBeforeFull(t *testing.T) {
+	body := strings.NewReader(strings.Repeat("x", 1<<20))
+	r, err := New(256<<10).Reserve("a", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	part, err := Read(r, body, -1, 1<<20)
+	var full *FullError
+	if !errors.As(err, &full) || len(part) == 0 || len(part)+body.Len() != 1<<20 {
+		t.Fatalf("%d bytes with %v, and %d bytes are left", len(part), err, body.Len())
+	}
+}
