Entry: bodies of requests and responses are held within a memory budget

Cause: an entry process read each body into a growing buffer, whatever it held already, and accepted heads of 1 MiB. Open bodies made it use 104 MiB (with a length) to 280 MiB (in chunks) of 64, heads up to 757 MiB. Change: settings memory_mb, from which the soft memory limit of the runtime follows, and held_mb. Bodies are reserved by client account before they are read; announcements by remote address. A body without room is refused with no_capacity (503, not run, Retry-After), one over the limit with 413; both end the connection without reading the rest. A response without room is passed on while it is read if its service is plain, because the request has run; if it is cut then, the caller's connection ends without the end of the response. That of an engine, which is checked as a whole, becomes answer_truncated (502, outcome unknown). Heads of callers are limited to 64 KiB, those of announcements to 16 KiB. The body of a completion request is dropped once its fields are decoded.

--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/control"
 	"bilberryhub/internal/entry"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/settings"
@@ -28,6 +29,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
+	control.SetMemoryLimit(cfg.MemoryMB)
 	// Registered before the start, so that a signal during the start also leads to a
 	// graceful stop.
 	stop := make(chan os.Signal, 1)
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -58,8 +58,8 @@
 	// GrantLifetime is the time from sending an announcement after which no request may
 	// begin to run that was granted under its lease.
 	GrantLifetime = MaxDelay + Lease + PermitLifetime
-	// maxAnnouncementBytes bounds one announcement; 4,096 open requests fit.
-	maxAnnouncementBytes = 1 << 20
+	// MaxBytes bounds one announcement; 4,096 open requests fit.
+	MaxBytes = 1 << 20
 )
 
 // Kind is the kind of a backend server.
@@ -146,7 +146,7 @@
 // JSON cannot be decoded, is larger than 1 MiB or has an invalid field.
 func Decode(r io.Reader) (*Announcement, error) {
 	a := &Announcement{}
-	if err := json.NewDecoder(io.LimitReader(r, maxAnnouncementBytes)).Decode(a); err != nil {
+	if err := json.NewDecoder(io.LimitReader(r, MaxBytes)).Decode(a); err != nil {
 		return nil, errors.Annotate(err, "decode announcement")
 	}
 	return a, errors.Trace(a.Check())
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"crypto/sha256"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,6 +12,7 @@
 
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/refusal"
 )
 
@@ -45,17 +44,16 @@
 
 func isModelPath(path string) bool { return path == chatPath || path == completionPath }
 
-// admit authenticates a request, checks it against configuration v and reads its
-// body. It sends nothing to a backend server.
-func (s *Server) admit(w http.ResponseWriter, hr *http.Request, v *config.Version, id string) (*request, *refusal.Error) {
-	account, refErr := authenticate(hr, v.Manifest)
-	if refErr != nil {
-		return nil, refErr
-	}
+// admit checks the request of an account against configuration v and reads its body
+// within the reservation held. It sends nothing to a backend server.
+func (s *Server) admit(w http.ResponseWriter, hr *http.Request, v *config.Version, id string, account *manifest.Account,
+	held *membudget.Reservation,
+) (*request, *refusal.Error) {
 	r := &request{
 		id: id, version: v, account: account, method: hr.Method, path: hr.URL.RequestURI(),
-		header: hr.Header, arrived: time.Now(),
+		header: hr.Header, held: held, arrived: time.Now(),
 	}
+	var refErr *refusal.Error
 	if isModelPath(hr.URL.Path) {
 		refErr = s.admitModel(w, hr, r)
 	} else {
@@ -87,7 +85,7 @@
 		return refusal.New(refusal.MethodNotAllowed, "completions take POST")
 	}
 	var refErr *refusal.Error
-	if r.body, refErr = readBody(w, hr, maxModelBodyBytes(r)); refErr != nil {
+	if r.body, refErr = s.readBody(w, hr, r, maxModelBodyBytes(r)); refErr != nil {
 		return refErr
 	}
 	if r.model, refErr = parseModelRequest(hr.URL.Path, r.body); refErr != nil {
@@ -133,7 +131,7 @@
 		return refErr
 	}
 	var refErr *refusal.Error
-	r.body, refErr = readBody(w, hr, service.MaxBodyBytes)
+	r.body, refErr = s.readBody(w, hr, r, service.MaxBodyBytes)
 	return refErr
 }
 
@@ -189,34 +187,13 @@
 	}
 	_, _ = h.Write(r.body)
 	h.Sum(r.fingerprint[:0])
+	if r.model != nil {
+		// The fields of the request hold the body once more.
+		r.body = nil
+	}
 	return nil
 }
 
-// maxBodyPreallocBytes bounds the buffer that is allocated before a body arrives.
-const maxBodyPreallocBytes = 1 << 20
-
-// bodyReadTimeout bounds the time in which a caller must send the body.
-const bodyReadTimeout = 60 * time.Second
-
-// readBody reads the body of a request, which may have up to limit bytes.
-func readBody(w http.ResponseWriter, hr *http.Request, limit int64) ([]byte, *refusal.Error) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	// Allocating the declared size avoids the copies and the unused capacity of a
-	// buffer that grows.
-	buf := bytes.NewBuffer(make([]byte, 0, min(max(hr.ContentLength, 0), limit, maxBodyPreallocBytes)+bytes.MinRead))
-	_, err := buf.ReadFrom(http.MaxBytesReader(w, hr.Body, limit))
-	body := buf.Bytes()
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	var over *http.MaxBytesError
-	if errors.As(err, &over) {
-		return nil, bodyTooLarge(limit)
-	}
-	if err != nil {
-		return nil, refusal.New(refusal.BadRequest, "read body: "+err.Error())
-	}
-	return body, nil
-}
-
 func bodyTooLarge(limit int64) *refusal.Error {
 	return refusal.New(refusal.BodyTooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 }
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -1,28 +1,57 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/announce"
+	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/observe"
+	"bilberryhub/internal/refusal"
 )
 
+// readAnnouncement reads and decodes an announcement.
+func (s *Server) readAnnouncement(w http.ResponseWriter, hr *http.Request) (*announce.Announcement, *refusal.Error) {
+	held, err := s.budget.Reserve("address "+remoteIP(hr), 0)
+	if err != nil {
+		return nil, s.bodyRefusal(w, "", err)
+	}
+	defer held.Release()
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(time.Now().Add(announceReadTimeout))
+	body, err := membudget.Read(held, hr.Body, hr.ContentLength, announce.MaxBytes)
+	if err != nil {
+		return nil, s.bodyRefusal(w, "", err)
+	}
+	_ = connection.SetReadDeadline(time.Time{})
+	a, err := announce.Decode(bytes.NewReader(body))
+	if err != nil {
+		return nil, refusal.New(refusal.BadRequest, err.Error())
+	}
+	return a, nil
+}
+
 // serveAnnounce accepts an announcement if this process is the dispatcher of the
 // pool, or if there is none because all live entry processes are draining. Otherwise
 // it redirects to the dispatcher, or starts the handover to it if this process still
 // owns the backend server.
 func (s *Server) serveAnnounce(w http.ResponseWriter, hr *http.Request) {
-	a, err := announce.Decode(hr.Body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	a, refErr := s.readAnnouncement(w, hr)
+	if refErr != nil {
+		if refErr.RetryAfter > 0 {
+			w.Header().Set("Retry-After", strconv.Itoa(int(refErr.RetryAfter.Seconds())))
+		}
+		http.Error(w, refErr.Message, refErr.Status())
 		return
 	}
 	var reply announce.Reply
 	var next string
-	err = s.loop.do(hr.Context(), func(c *control) {
+	err := s.loop.do(hr.Context(), func(c *control) {
 		d, ok := c.peers.Dispatcher(a.FailureDomain, a.Service)
 		switch {
 		case !ok || d.ID == s.settings.ID:
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/backend"
+	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/relay"
@@ -21,6 +21,10 @@
 // is forwarded.
 const maxBufferedResponseBytes = 16 << 20
 
+// unknownLength makes a body be read to its end, which its framing marks, and reserved step
+// by step.
+const unknownLength = -1
+
 // resumableHeader requests that an engine keep a stream for a while after its
 // connection breaks.
 const resumableHeader = "X-Resumable"
@@ -177,29 +181,41 @@
 	status      int
 	contentType string
 	body        []byte
+	// isDropped is set if the body is too large to be recorded.
+	isDropped bool
 }
 
 // fail does nothing, because a buffered response is forwarded as a whole.
 func (br *bufferedRelay) fail(*refusal.Error, string) {}
 
 func (br *bufferedRelay) relayResponse(ctx context.Context, a *attempt, resp *http.Response) outcome {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponseBytes+1))
+	defer a.req.held.ShrinkTo(a.req.held.Size())
+	body, err := membudget.Read(a.req.held, resp.Body, unknownLength, maxBufferedResponseBytes)
+	var large *membudget.TooLargeError
 	out := outcome{sent: true, step: wirepb.Progress_STEP_DONE}
 	switch {
 	case ctx.Err() != nil:
 		out.step, out.err = wirepb.Progress_STEP_CANCELLED, cancelError(ctx, true)
 		a.cancelStream()
+	case errors.As(err, &large):
+		out.step, out.err = wirepb.Progress_STEP_CANCELLED, refusal.NewUnknown(refusal.AnswerTruncated, "answer is larger than 16 MiB")
+		a.cancelStream()
+	case isOverBudget(err):
+		a.server.logOverBudget("response is not held", a.req.id, err)
+		if a.req.model == nil {
+			return br.passOn(ctx, a, resp, body)
+		}
+		// The response of an engine is checked as a whole.
+		out.step, out.err = wirepb.Progress_STEP_CANCELLED, refusal.NewUnknown(refusal.AnswerTruncated, "no memory for the answer now")
+		a.cancelStream()
 	case err != nil:
 		a.log.Info("response truncated", observe.Error(err))
 		out.step, out.excluded = wirepb.Progress_STEP_BROKEN, a.member.GetBackend()
 		out.err = refusal.NewUnknown(refusal.BackendFailed, "connection broke before the whole answer had arrived")
-	case len(body) <= maxBufferedResponseBytes && a.endedEarly(ctx, resp, body):
+	case a.endedEarly(ctx, resp, body):
 		a.log.Info("response ended in an orderly way, but is not whole", zap.Int("bytes", len(body)))
 		out.step, out.excluded = wirepb.Progress_STEP_BROKEN, a.member.GetBackend()
 		out.err = refusal.NewUnknown(refusal.BackendFailed, "backend server ended its answer before the whole of it had arrived")
-	case len(body) > maxBufferedResponseBytes:
-		out.step, out.err = wirepb.Progress_STEP_CANCELLED, refusal.NewUnknown(refusal.AnswerTruncated, "answer is larger than 16 MiB")
-		a.cancelStream()
 	case a.req.model != nil && !bytes.Contains(body, []byte(a.id)):
 		out.step, out.err = wirepb.Progress_STEP_CANCELLED, refusal.NewUnknown(refusal.AnswerMismatch, "answer belongs to another request")
 		a.cancelStream()
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -53,7 +53,7 @@
 	case refErr == nil:
 		o.Kind, o.Status, o.ContentType = wirepb.ClaimOutcome_KIND_DONE, uint32(stored.status), stored.contentType
 		o.Body = stored.body
-		if len(o.Body) > maxRecordedBodyBytes {
+		if stored.isDropped || len(o.Body) > maxRecordedBodyBytes {
 			o.Body, o.BodyDropped = nil, true
 		}
 	case refErr.Run == refusal.RunNo:
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/juju/errors"
 
+	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/openai"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/wirepb"
@@ -61,7 +61,7 @@
 		return nil, out
 	}
 	defer resp.Body.Close()
-	next, err := readExport(resp)
+	next, err := a.readExport(resp)
 	if err == nil {
 		return next, outcome{}
 	}
@@ -74,8 +74,9 @@
 }
 
 // readExport returns the export parameters in the response of an engine.
-func readExport(resp *http.Response) (*openai.KVTransfer, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPartResponseBytes))
+func (a *attempt) readExport(resp *http.Response) (*openai.KVTransfer, error) {
+	defer a.req.held.ShrinkTo(a.req.held.Size())
+	body, err := membudget.Read(a.req.held, resp.Body, unknownLength, maxPartResponseBytes)
 	if err != nil {
 		return nil, errors.Annotate(err, "read answer of a part")
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -44,7 +44,18 @@
 		s.serveStreamResume(w, hr, v, id)
 		return
 	}
-	r, refErr := s.admit(w, hr, v, id)
+	account, refErr := authenticate(hr, v.Manifest)
+	if refErr != nil {
+		s.refuse(w, id, refErr)
+		return
+	}
+	held, err := s.budget.Reserve("account "+account.Name, 0)
+	defer held.Release()
+	if err != nil {
+		s.refuse(w, id, s.bodyRefusal(w, id, err))
+		return
+	}
+	r, refErr := s.admit(w, hr, v, id, account, held)
 	if refErr != nil {
 		s.refuse(w, id, refErr)
 		return
@@ -77,6 +88,10 @@
 	if refErr != nil && !responseStarted {
 		s.refuse(w, r.id, refErr)
 	}
+	if r.isCut {
+		// The connection ends without the end of the response.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // execute runs a request with a claim, as a stream or with a buffered response.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,7 @@
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/invariant"
 	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/membudget"
 )
 
 // phase is the progress of a request, for the state dump and for the deadline check.
@@ -30,15 +31,20 @@
 // request is one admitted request of a caller. phase and backend change while it is
 // in the request table and are accessed atomically.
 type request struct {
-	id       string
-	version  *config.Version
-	account  *manifest.Account
-	service  *manifest.Service
-	urgency  *manifest.Urgency
-	method   string
-	path     string // with the query string
-	header   http.Header
-	body     []byte
+	id      string
+	version *config.Version
+	account *manifest.Account
+	service *manifest.Service
+	urgency *manifest.Urgency
+	method  string
+	path    string // with the query string
+	header  http.Header
+	body    []byte
+	// held is what is reserved for the body, and for a response that is read whole. It is
+	// nil for a request that resumes a stream.
+	held *membudget.Reservation
+	// isCut is set if the caller has received a part of a response that isn't a stream.
+	isCut    bool
 	model    *modelRequest
 	arrived  time.Time
 	deadline time.Time
@@ -63,6 +69,7 @@
 	if r.model != nil {
 		r.model.fields, r.model.prefix = nil, nil
 	}
+	r.held.Release()
 }
 
 // timeLeft returns the time until the deadline, which is negative after it.
--- a/internal/entry/responseend_test.go
+++ b/internal/entry/responseend_test.go
@@ -98,8 +98,12 @@
 				t.Fatal(err)
 			}
 			defer s.backends.Close()
+			held, err := s.budget.Reserve("a", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
 			a := &attempt{
-				server: s, id: id, log: zap.NewNop(), req: &request{},
+				server: s, id: id, log: zap.NewNop(), req: &request{held: held},
 				res:    &reservation{grant: &wirepb.Grant{}, reserve: &wirepb.Reserve{}, send: func(*wirepb.Progress) {}},
 				member: &wirepb.GrantMember{Backend: "b1", Address: l.Addr().String(), Boot: rawBoot},
 			}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,6 +30,7 @@
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/configsync"
 	"bilberryhub/internal/dispatch"
+	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/peerconn"
 	"bilberryhub/internal/peers"
@@ -45,6 +46,14 @@
 // readHeaderTimeout bounds the time in which a caller must send the headers.
 const readHeaderTimeout = 5 * time.Second
 
+const (
+	// maxHeadBytes limits the head of a caller's request, and maxAnnounceHeadBytes that of
+	// an announcement. With the default of net/http, 1 MiB, 96 connections with endless
+	// header fields made a process use 757 MiB.
+	maxHeadBytes         = 64 << 10
+	maxAnnounceHeadBytes = 16 << 10
+)
+
 // closeTime bounds the wait for the responses that are being sent at the end of a planned
 // stop, and for requests on connections that were just accepted.
 const closeTime = 1500 * time.Millisecond
@@ -87,6 +96,10 @@
 	// callerListener is the listener of callers, and callerConns its connections.
 	callerListener net.Listener
 	callerConns    *callerconn.Set
+	// budget limits the bodies that are held, and refusedBodies the log lines about those
+	// that do not fit.
+	budget        *membudget.Budget
+	refusedBodies *observe.LineLimit
 
 	// The listen addresses, with the ports that the operating system assigned.
 	callerAddress, announceAddress string
@@ -114,7 +127,9 @@
 		// set back by less than the time since the last start.
 		incarnation: uint64(time.Now().UnixNano()),
 		loop:        newLoop(), requests: newRequestTable(), open: newOpenDispatches(), isolation: newIsolation(),
-		callerConns: callerconn.NewSet(),
+		callerConns:   callerconn.NewSet(),
+		budget:        membudget.New(settings.heldBytes(announce.MaxBytes)),
+		refusedBodies: observe.NewLineLimit(maxBodyRefusalLines),
 	}
 	s.backends, s.connects = backend.NewClient(s.dialBackend(s.directDial())), s.newPeerServer(s.directDial())
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -156,12 +171,12 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	s.announce, s.announceAddress = s.serveHTTP(announceListener, s.announceMux()), announceListener.Addr().String()
+	s.announce, s.announceAddress = s.serveHTTP(announceListener, s.announceMux(), maxAnnounceHeadBytes), announceListener.Addr().String()
 	s.startControl()
 	if s.callerListener, err = listen(s.settings.Listen); err != nil {
 		return errors.Trace(err)
 	}
-	s.callers, s.callerAddress = s.serveHTTP(s.callerConns.Listener(s.callerListener), s), s.callerListener.Addr().String()
+	s.callers, s.callerAddress = s.serveHTTP(s.callerConns.Listener(s.callerListener), s, maxHeadBytes), s.callerListener.Addr().String()
 	if s.settings.AdminListen != "" {
 		if err = s.admin.Serve(s.settings.AdminListen); err != nil {
 			return errors.Trace(err)
@@ -211,10 +226,10 @@
 	return l, errors.Annotatef(err, "listen on %s", address)
 }
 
-// serveHTTP starts an HTTP server.
-func (s *Server) serveHTTP(l net.Listener, handler http.Handler) *http.Server {
+// serveHTTP starts an HTTP server that accepts request heads of up to maxHead bytes.
+func (s *Server) serveHTTP(l net.Listener, handler http.Handler, maxHead int) *http.Server {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: s.callerConns.Track,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead, ConnState: s.callerConns.Track,
 	}
 	s.wg.Go(func() { _ = server.Serve(l) })
 	return server
@@ -226,6 +241,7 @@
 	if v.Manifest == nil {
 		return
 	}
+	s.budget.SetCapacity(s.settings.heldBytes(largestBody(v.Manifest)))
 	s.loop.post(func(c *control) {
 		c.core.SetView(newView(v))
 		c.core.SetConfigAge(s.configAge())
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"time"
 
+	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/settings"
 )
 
@@ -47,9 +48,13 @@
 	CallerWriteSeconds float64 `json:"caller_write_seconds"`
 	// AcceptPromptTokensHeader allows callers to state the prompt length in the
 	// header X-Prompt-Tokens instead of sending the text. It is for benchmarks only.
-	AcceptPromptTokensHeader bool          `json:"accept_prompt_tokens_header"`
-	LogLevel                 string        `json:"log_level"`
-	TLS                      *settings.TLS `json:"tls"`
+	AcceptPromptTokensHeader bool `json:"accept_prompt_tokens_header"`
+	// MemoryMB is the memory of the VM in MiB; 0 means no limit.
+	MemoryMB int64 `json:"memory_mb"`
+	// HeldMB limits the bodies that are held for callers, in MiB; see membudget.Capacity.
+	HeldMB   int64         `json:"held_mb"`
+	LogLevel string        `json:"log_level"`
+	TLS      *settings.TLS `json:"tls"`
 }
 
 const (
@@ -67,6 +72,12 @@
 	return s, nil
 }
 
+// heldBytes returns the capacity of the memory budget in bytes, if the largest legal body
+// has the given size.
+func (s *Settings) heldBytes(largestBody int64) int64 {
+	return membudget.Capacity(s.HeldMB, s.MemoryMB, largestBody)
+}
+
 func (s *Settings) drain() time.Duration {
 	if s.DrainSeconds == 0 {
 		return defaultDrain
--- a/internal/hostile/entry_test.go
+++ b/internal/hostile/entry_test.go
@@ -167,7 +167,7 @@
 	t.Helper()
 	entry := Start(t, "bilberry-entry", map[string]any{
 		"id": "entry-1", "failure_domain": "d1", "listen": s.callers, "announce_listen": s.announce, "wire_listen": s.wire,
-		"entries": []string{s.wire}, "states": []string{s.state},
+		"entries": []string{s.wire}, "states": []string{s.state}, "memory_mb": entryMemoryMB,
 	})
 	entry.waitForAnswer("before the crowd", s.ordinary)
 	entry.Check(entryBound, Crowd{Address: s.callers, Connections: entryConnections, Send: send}, s.ordinary)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -170,6 +170,21 @@
 	return nil
 }
 
+// Size returns the size in bytes.
+func (r *Reservation) Size() int64 {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	return r.n
+}
+
+// ShrinkTo returns what the reservation holds beyond n bytes.
+func (r *Reservation) ShrinkTo(n int64) {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.resize(r, min(r.n, max(n, 0)))
+}
+
 // Release returns the bytes to the budget. It may be called more than once, and for a nil
 // reservation.
 func (r *Reservation) Release() {
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -134,6 +134,11 @@
 	if got := b.Held(); got != 3*mib {
 		t.Errorf("%d bytes held after a refused growth, want %d", got, 3*mib)
 	}
+	r.ShrinkTo(4 * mib)
+	r.ShrinkTo(32 * kib)
+	if got, held := r.Size(), b.held; got != 32*kib || held != (sizes{small: 32 * kib}) {
+		t.Errorf("size %d, held %+v after the reservation has shrunk to 32 KiB", got, held)
+	}
 	r.Release()
 	r.Release()
 	if got := b.Held(); got != 0 {
