--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -104,6 +104,8 @@
 	if m := s.checked.Load(); m != nil && m.digest == digest {
 		return m, s.log.With(zap.Uint64("number", m.number), zap.Int("bytes", len(m.content)), zap.Bool("checked_before", true)), nil
 	}
+	s.checking.Lock()
+	defer s.checking.Unlock()
 	started := bootclock.Now()
 	number, content, err := translate(document)
 	translated := bootclock.Now()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -86,6 +86,9 @@
 
 	// changes are the changes in progress, by the digest of their document.
 	changes singleflight.Group
+	// checking is held while a document is translated and validated, which takes a multiple
+	// of its size in memory.
+	checking sync.Mutex
 	// checked is the last manifest that was valid.
 	checked atomic.Pointer[checkedManifest]
 
--- a/internal/hostile/entry_test.go
+++ b/internal/hostile/entry_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"bilberryhub/internal/announce"
 	"bilberryhub/internal/freeport"
 	"bilberryhub/internal/wire"
 	"bilberryhub/internal/wirepb"
@@ -162,15 +163,15 @@
 	return nil
 }
 
-// check runs a crowd against a new entry process.
-func (s *entrySystem) check(t *testing.T, send func(i int, w io.Writer) error) {
+// check runs a crowd against an address of a new entry process.
+func (s *entrySystem) check(t *testing.T, address string, send func(i int, w io.Writer) error) {
 	t.Helper()
 	entry := Start(t, "bilberry-entry", map[string]any{
 		"id": "entry-1", "failure_domain": "d1", "listen": s.callers, "announce_listen": s.announce, "wire_listen": s.wire,
 		"entries": []string{s.wire}, "states": []string{s.state}, "memory_mb": entryMemoryMB,
 	})
 	entry.waitForAnswer("before the crowd", s.ordinary)
-	entry.Check(entryBound, Crowd{Address: s.callers, Connections: entryConnections, Send: send}, s.ordinary)
+	entry.Check(entryBound, Crowd{Address: address, Connections: entryConnections, Send: send}, s.ordinary)
 }
 
 // Guards against an entry process that exceeds the memory of its VM, or stops serving,
@@ -219,6 +220,24 @@
 		}},
 		{"over the limit/empty lines", func(_ int, w io.Writer) error { return EmptyLines(w, endlessBytes) }},
 	} {
-		t.Run(c.name, func(t *testing.T) { s.check(t, c.send) })
+		t.Run(c.name, func(t *testing.T) { s.check(t, s.callers, c.send) })
+	}
+}
+
+// Guards against an entry process that exceeds the memory of its VM, or to which backend
+// servers can't announce themselves, because of what arrives at the address of announcements.
+func TestEntryAnnouncements(t *testing.T) {
+	s := startEntrySystem(t)
+	head := Head(announce.Path, "Host", "h.example")
+	for _, c := range []struct {
+		name string
+		send func(i int, w io.Writer) error
+	}{
+		{"open bodies with a length", func(_ int, w io.Writer) error { return Body(w, head, announce.MaxBytes, announce.MaxBytes-1) }},
+		{"open bodies in chunks", func(_ int, w io.Writer) error { return Chunks(w, head, announce.MaxBytes-1) }},
+		{"body over the limit, in chunks", func(_ int, w io.Writer) error { return Chunks(w, head, sentTooLarge) }},
+		{"endless fields", func(_ int, w io.Writer) error { return EndlessFields(w, head, endlessBytes) }},
+	} {
+		t.Run(c.name, func(t *testing.T) { s.check(t, s.announce, c.send) })
 	}
 }
