Control, entry: the unread body of a refused request holds its connection for a limited time

Cause: net/http reads up to 256 KiB of a body that the handler hasn't read, before or after the response, and waits for the caller without a limit. Result: TestControlEndsUnreadBody: red before (connections open after 20 s), green now.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
 	"go.uber.org/zap"
 
 	"bilberryhub/internal/announce"
+	"bilberryhub/internal/callerconn"
 	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/refusal"
@@ -22,13 +22,12 @@
 		return nil, s.bodyRefusal(w, "", err)
 	}
 	defer held.Release()
-	connection := http.NewResponseController(w)
-	_ = connection.SetReadDeadline(time.Now().Add(announceReadTimeout))
+	callerconn.LimitBodyTime(w, hr, announceReadTimeout)
 	body, err := membudget.Read(held, hr.Body, hr.ContentLength, announce.MaxBytes)
 	if err != nil {
 		return nil, s.bodyRefusal(w, "", err)
 	}
-	_ = connection.SetReadDeadline(time.Time{})
+	callerconn.EndBodyTime(w)
 	a, err := announce.Decode(bytes.NewReader(body))
 	if err != nil {
 		return nil, refusal.New(refusal.BadRequest, err.Error())
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -39,13 +39,11 @@
 
 // readBody reads the body of a request, which may have up to limit bytes.
 func (s *Server) readBody(w http.ResponseWriter, hr *http.Request, r *request, limit int64) ([]byte, *refusal.Error) {
-	connection := http.NewResponseController(w)
-	_ = connection.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	body, err := membudget.Read(r.held, hr.Body, hr.ContentLength, limit)
 	if err != nil {
 		return nil, s.bodyRefusal(w, r.id, err)
 	}
-	_ = connection.SetReadDeadline(time.Time{})
+	callerconn.EndBodyTime(w)
 	return body, nil
 }
 
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/callerconn"
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/refusal"
 )
@@ -24,6 +25,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	callerconn.LimitBodyTime(w, hr, bodyReadTimeout)
 	id := newRequestID()
 	h := w.Header()
 	h.Set(requestIDHeader, id)
