gateway: memory budget for bodies of requests and responses

Cause: a gateway held whatever its callers sent and didn't read: 96 connections with bodies of 1 MiB that don't end drove a gateway of 64 MB to 200 MiB. Change: bodies of requests and responses that are read whole are reserved in a membudget.Budget (setting held_mb) before they are read, by client account or remote IP address. A body that doesn't fit is refused with 503, "run":"no" and Connection: close, and one over the limit with 413; the rest isn't read. A response that doesn't fit is passed on while it is read, since the request has run. Refusals of backend servers are read without being held. A caller that takes nothing of a held response for 60 s, and an unread body of a refused request after 10 s, end the connection.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,6 +17,7 @@
 	"bilberryhub/internal/exchange"
 	"bilberryhub/internal/fleet"
 	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/placement"
 )
@@ -93,6 +95,9 @@
 	// isQuarantined is set when the attempt is canceled because its request is
 	// suspected of crashing backend servers.
 	isQuarantined atomic.Bool
+	// isPassedOn is set when the caller gets the response while it is read, so that no other
+	// backend server can serve the request. Other goroutines read it too.
+	isPassedOn atomic.Bool
 }
 
 // bufferedResponse is a complete response. One that reports a failure is sent to
@@ -101,6 +106,14 @@
 	status int
 	header http.Header
 	body   []byte
+	held   *membudget.Reservation
+}
+
+// release returns what is held for the response.
+func (b *bufferedResponse) release() {
+	if b != nil {
+		b.held.Release()
+	}
 }
 
 // run sends a request to backend servers, one after the other, until one serves
@@ -108,6 +121,7 @@
 func (g *Gateway) run(ctx context.Context, r *request) error {
 	g.budget.request(r.service.Name, bootclock.Now())
 	var buffered *bufferedResponse
+	defer func() { buffered.release() }()
 	ran := false
 	r.features = r.crashFeatures()
 	// paused is the pause because of which an attempt was not made, if there is one.
@@ -133,6 +147,7 @@
 		case callerGone:
 			return g.expired(ctx, r, ran || a.sent > 0, buffered)
 		case respondedWithFailure:
+			buffered.release()
 			buffered, ran = a.buffered, true
 		case mayHaveRun:
 			ran = true
@@ -464,7 +479,7 @@
 
 // handleRefusal handles a response which states that the request hasn't run.
 func (a *attempt) handleRefusal(response *exchange.Response, info ResponseInfo) attemptResult {
-	_, err := response.ReadAll(maxResponseBytes)
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 	a.err = errors.Errorf("%s refused with status %d", a.pick.backend.ID, response.Status)
 	if err != nil {
 		a.g.log.Debug("read refusal failed", observe.Error(err))
@@ -496,7 +511,19 @@
 // handleResponse reads a response that is not a stream, and forwards it unless its
 // status is 500 or above.
 func (a *attempt) handleResponse(response *exchange.Response, stall *watchdog) attemptResult {
-	body, err := response.ReadAll(maxResponseBytes)
+	held, err := a.g.held.Reserve(a.r.holder(), 0)
+	if err != nil {
+		return a.handleNotHeld(response, nil, stall, err)
+	}
+	defer func() {
+		if a.buffered == nil {
+			held.Release()
+		}
+	}()
+	body, err := a.readResponse(held, response)
+	if isOverBudget(err) {
+		return a.handleNotHeld(response, body, stall, err)
+	}
 	now := bootclock.Now()
 	err = a.checkEnd(response, err, now)
 	if err != nil {
@@ -511,7 +538,7 @@
 		return mayHaveRun
 	}
 	a.g.suspects.recordServed(a.r, now)
-	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
+	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body, held: held}
 	if response.Status >= http.StatusInternalServerError {
 		a.g.health.record(a.pick.job.backend, outcomeFailed, now)
 		a.buffered, a.err = buffered, errors.Errorf("%s answered with status %d", a.pick.backend.ID, response.Status)
@@ -525,22 +552,35 @@
 	return served
 }
 
+// errAnotherAnswer is returned if the caller has a part of another response already.
+var errAnotherAnswer = errors.New("the answer has begun with another one")
+
 // forwardResponse sends a response of a backend server to the caller, unchanged.
 func (g *Gateway) forwardResponse(r *request, buffered *bufferedResponse) error {
 	if r.status != 0 {
-		return errors.New("the answer has begun with another one")
+		return errAnotherAnswer
 	}
+	g.writeHead(r, buffered.status, buffered.header, int64(len(buffered.body)))
+	writer := &deadlineWriter{w: r.w, until: func() time.Time { return time.Now().Add(forwardStepTime) }}
+	_, err := writer.Write(buffered.body)
+	return errors.Trace(err)
+}
+
+// writeHead sends the head of a response of a backend server that isn't a stream. A negative
+// length of the body is unknown.
+func (g *Gateway) writeHead(r *request, status int, header http.Header, length int64) {
 	h := r.w.Header()
-	for name, values := range g.dialect.ResponseHeader(buffered.header) {
+	for name, values := range g.dialect.ResponseHeader(header) {
 		h[name] = values
 	}
 	if _, ok := h["Content-Type"]; !ok {
 		// Keeps net/http from detecting a content type.
 		h["Content-Type"] = nil
 	}
-	h.Set("Content-Length", strconv.Itoa(len(buffered.body)))
-	r.status, r.outcome = buffered.status, "passed on"
-	r.w.WriteHeader(buffered.status)
-	_, err := r.w.Write(buffered.body)
-	return errors.Annotate(err, "write answer")
+	h.Del("Content-Length")
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	r.status, r.outcome = status, "passed on"
+	r.w.WriteHeader(status)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/configsync"
 	"bilberryhub/internal/exchange"
+	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/peerconn"
 	"bilberryhub/internal/wire"
@@ -76,12 +77,15 @@
 	log         *zap.Logger
 	incarnation uint64
 
-	sync         configuration
-	members      *members
-	workTable    *workTable
-	batch        shareBatch
-	health       *health
-	budget       *budget
+	sync      configuration
+	members   *members
+	workTable *workTable
+	batch     shareBatch
+	health    *health
+	budget    *budget
+	// held limits the bytes that are held for callers, and heldLines the log lines about it.
+	held         *membudget.Budget
+	heldLines    *observe.LineLimit
 	reachability *reachability
 	isolation    *isolation
 	// connects serves gateways that are isolated, at peerServer.
@@ -123,7 +127,7 @@
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
 		settings: s, dialect: d, log: log, now: bootclock.Now, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
-		callerConns: callerconn.NewSet(), budget: newBudget(s), reachability: newReachability(), isolation: newIsolation(), suspects: newSuspects(), limits: newLimits(), notices: &notices{}, exchanges: exchange.NewPool(maxIdleConns),
+		callerConns: callerconn.NewSet(), budget: newBudget(s), held: membudget.New(membudget.Capacity(s.HeldMB, s.MemoryMB, defaultMaxBodyBytes)), heldLines: observe.NewLineLimit(heldLinesPerSecond), reachability: newReachability(), isolation: newIsolation(), suspects: newSuspects(), limits: newLimits(), notices: &notices{}, exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.sendDatagram = func(data []byte, to netip.AddrPort) error {
 		_, err := g.udp.WriteToUDPAddrPort(data, to)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -16,6 +15,7 @@
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/config"
 	"bilberryhub/internal/manifest"
+	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/observe"
 	"bilberryhub/internal/suspicion"
 )
@@ -46,7 +46,9 @@
 	account *manifest.RoutingAccount
 	service *manifest.RoutedService
 	body    []byte
-	arrived time.Duration
+	// bodyHeld is what is reserved for the body, nil before it is read.
+	bodyHeld *membudget.Reservation
+	arrived  time.Duration
 	// deadline is when the final response is due.
 	deadline time.Duration
 	// configAge is the time since the configuration was confirmed, at the
@@ -91,6 +93,8 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	// leavesBody is set if the body wasn't read to its end, and won't be.
+	leavesBody bool
 }
 
 func (r *refusal) Error() string { return r.reason }
@@ -111,6 +115,7 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	defer g.finish(r)
+	defer r.releaseBody()
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -265,26 +270,6 @@
 	return nil
 }
 
-// readBody reads the body of a request, within its size limit and deadline.
-func (g *Gateway) readBody(r *request) error {
-	limit := r.version.Manifest.Routing.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	_ = http.NewResponseController(r.w).SetReadDeadline(time.Now().Add(r.deadline - bootclock.Now()))
-	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.http.Body, limit))
-	if err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return refuse(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", limit)
-		}
-		return refuse(http.StatusBadRequest, "the body breaks off: %v", err)
-	}
-	_ = http.NewResponseController(r.w).SetReadDeadline(time.Time{})
-	r.body = body
-	return nil
-}
-
 // hostOnly returns a host without its port.
 func hostOnly(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
@@ -318,6 +303,10 @@
 	if f.status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", fmt.Sprintf("%.3f", max(f.retryAfter, 10*time.Millisecond).Seconds()))
 	}
+	if f.leavesBody {
+		h.Set("Connection", "close")
+	}
+	r.limitUnreadBody(f)
 	r.w.WriteHeader(f.status)
 	if _, werr := fmt.Fprintf(r.w, "{\"error\":{\"message\":%q,\"run\":%q}}\n", f.reason, run); werr != nil {
 		g.log.Debug("write refusal failed", zap.String("request_id", r.caller.ID), observe.Error(werr))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -55,6 +55,9 @@
 	AnnounceMs int64 `json:"announce_ms"`
 	// MemoryMB is the memory limit of the process; 0 means no limit.
 	MemoryMB int64 `json:"memory_mb"`
+	// HeldMB limits the bytes that are held for callers, in MiB; 0 means a quarter of
+	// MemoryMB. See package membudget.
+	HeldMB int64 `json:"held_mb"`
 	// Placement selects what the choice of an engine takes into account.
 	Placement placement.Policy `json:"placement"`
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -106,7 +106,7 @@
 
 // mayRetry reports whether the request may be sent to another backend server.
 func (a *attempt) mayRetry(now time.Duration) bool {
-	return a.g.canRetry(a.r, a.number+1, true) && a.g.budget.allows(a.r.service.Name, a.g.members.count(), now)
+	return !a.isPassedOn.Load() && a.g.canRetry(a.r, a.number+1, true) && a.g.budget.allows(a.r.service.Name, a.g.members.count(), now)
 }
 
 // lastSign returns when something was last received, or when the request was sent.
