--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -21,9 +21,12 @@
 	// maxRefusalBytes limits what is read of the body of a refusal by a backend server, which
 	// nobody gets. A new connection costs less than reading more.
 	maxRefusalBytes = 256 << 10
-	// unreadBodyTime limits the time for the rest of a body whose request is refused.
-	// net/http reads up to 256 KiB of it, to keep the connection, without any limit of time.
+	// net/http reads up to 256 KiB of the rest of a body whose request is refused, without any
+	// limit of time. If the connection can be kept, that is limited to unreadBodyTime. If it ends
+	// anyway, it comes after the response and lasts discardTime at most: a connection that is
+	// closed with bytes unread is reset, and the caller may lose the response by that.
 	unreadBodyTime = 10 * time.Second
+	discardTime    = 500 * time.Millisecond
 	// forwardStepBytes is the size of the pieces in which a response is written to the caller.
 	forwardStepBytes = 64 << 10
 	// forwardStepTime limits the time for writing one of them: a caller that reads nothing must
@@ -100,17 +103,16 @@
 	}
 }
 
-// limitUnreadBody limits what is read of the rest of a body whose request is refused: nothing
-// if the connection ends anyway.
+// limitUnreadBody limits the time for the rest of a body whose request is refused.
 func (r *request) limitUnreadBody(f *refusal) {
-	if r.http.ContentLength == 0 || r.bodyHeld != nil && !f.leavesBody {
+	limit := unreadBodyTime
+	switch {
+	case f.leavesBody:
+		limit = discardTime
+	case r.http.ContentLength == 0 || r.bodyHeld != nil:
 		return
 	}
-	until := time.Now()
-	if !f.leavesBody {
-		until = until.Add(unreadBodyTime)
-	}
-	_ = http.NewResponseController(r.w).SetReadDeadline(until)
+	_ = http.NewResponseController(r.w).SetReadDeadline(time.Now().Add(limit))
 }
 
 // isOverBudget reports whether an error is due to the memory budget.
