gateway: large events are held within the memory budget

Cause: an event of a stream may have 1 MiB, and a slow caller keeps the gateway holding it. Change: an event over 16 KiB is reserved while it is read and until it is written. One that doesn't fit breaks off the attempt without blame on the backend server.

--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -268,6 +268,30 @@
 	}
 }
 
+// Guards against large events that are held beyond the budget, and against a stream that looks
+// complete although an event of it was left out.
+func TestLargeEventIsHeldWithinTheBudget(t *testing.T) {
+	s := newSetup(t)
+	large := "id: 2\ndata: " + strings.Repeat("y", 500_000) + "\n\n"
+	s.add("s1", "model", "a", func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		sendEvents(w, 1, 1)
+		_, _ = io.WriteString(w, large)
+		sendEvents(w, 3, 3)
+	})
+	want := events(1, 1) + large + events(3, 3)
+	if resp, body, err := s.post("/rigid/x", []byte("x"), false); err != nil || body != want {
+		t.Errorf("%v, %d bytes, %v", resp, len(body), err)
+	}
+	s.checkNothingHeld()
+	release := s.fillBudget()
+	if resp, body, err := s.post("/rigid/x", []byte("x"), false); err == nil && resp.StatusCode == http.StatusOK {
+		t.Errorf("a stream of %d bytes looks complete although the budget is full", len(body))
+	}
+	release()
+	s.checkNothingHeld()
+}
+
 // Guards against memory that is held for a caller without a key in the name of all of them.
 func TestHolder(t *testing.T) {
 	s := newSetup(t)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,6 +16,7 @@
 	"bilberryhub/internal/bootclock"
 	"bilberryhub/internal/exchange"
 	"bilberryhub/internal/fleet"
+	"bilberryhub/internal/membudget"
 )
 
 const (
@@ -168,6 +169,8 @@
 // still respond.
 func (a *attempt) relayStream(response *exchange.Response, stall *watchdog) attemptResult {
 	events := newEventReader(response.Body)
+	events.reserve = func() (*membudget.Reservation, error) { return a.g.held.Reserve(a.r.holder(), 0) }
+	defer events.release()
 	seen := 0
 	var last time.Duration
 	for {
@@ -270,6 +273,11 @@
 // handleStreamEnd returns the result of a stream that has ended, and records
 // the outcome.
 func (a *attempt) handleStreamEnd(response *exchange.Response, err error, seen int, stall *watchdog) attemptResult {
+	if isOverBudget(err) {
+		a.g.logFull("stream broken off: an event doesn't fit the memory budget", a.r, err)
+		a.err = err
+		return mayHaveRun
+	}
 	now := bootclock.Now()
 	if err = a.checkEnd(response, err, now); err == nil {
 		a.begin(response)
@@ -299,19 +307,66 @@
 // eventReader splits a stream into events, each including its terminating blank
 // line. Blank lines and comments before an event belong to it: a backend server that
 // sends nothing else now and then makes no progress.
-type eventReader struct{ r *bufio.Reader }
+type eventReader struct {
+	r *bufio.Reader
+	// reserve, if set, returns a new reservation for an event, and held is that for the current
+	// event, if it has one.
+	reserve func() (*membudget.Reservation, error)
+	held    *membudget.Reservation
+}
+
+// unreservedEventBytes is the size up to which an event isn't reserved in the memory budget: it
+// is small beside what a connection takes.
+const unreservedEventBytes = 16 << 10
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, 4<<10)}
+}
+
+// release returns what is held for the current event.
+func (e *eventReader) release() {
+	if e.held != nil {
+		e.held.Release()
+		e.held = nil
+	}
+}
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{bufio.NewReaderSize(r, 4<<10)} }
+// add appends a part to an event, whose buffer grows as far as it was reserved.
+func (e *eventReader) add(event, part []byte) ([]byte, error) {
+	size := len(event) + len(part)
+	if size <= cap(event) || size <= unreservedEventBytes || e.reserve == nil {
+		return append(event, part...), nil
+	}
+	larger := max(size, min(2*size, maxEventBytes))
+	before := int64(0)
+	if e.held == nil {
+		held, err := e.reserve()
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		e.held = held
+	} else {
+		before = int64(cap(event))
+	}
+	if err := e.held.Grow(int64(larger) - before); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return append(append(make([]byte, 0, larger), event...), part...), nil
+}
 
-// next returns a complete event. It returns io.EOF at a clean end, and
-// io.ErrUnexpectedEOF if the stream ends inside an event. What follows the last event
+// next returns a complete event, which is held until the next call. It returns io.EOF at a clean
+// end, and io.ErrUnexpectedEOF if the stream ends inside an event. What follows the last event
 // without being one is returned like an event.
 func (e *eventReader) next() ([]byte, error) {
+	e.release()
 	var event []byte
 	hasField, isLineStart := false, true
 	for {
 		line, err := e.r.ReadSlice('\n')
-		event = append(event, line...)
+		var fullErr error
+		if event, fullErr = e.add(event, line); fullErr != nil {
+			return nil, fullErr
+		}
 		if isLineStart && len(line) > 0 && !isBlank(line) && line[0] != ':' {
 			hasField = true
 		}
