--- a/internal/hostile/hostile.go
+++ b/internal/hostile/hostile.go
@@ -192,6 +192,7 @@
 		if err == nil {
 			return
 		}
+		p.t.Logf("%s doesn't answer yet %s: %v", p.name, when, err)
 		p.checkAlive()
 		if time.Now().After(deadline) {
 			p.t.Errorf("%s answers no ordinary request %s: %v", p.name, when, err)
