Entry: completion requests of many objects or fields are decoded one at a time

Cause: an empty message takes 3 bytes of a body and some 100 while it is decoded, and decoded fields are held until the response. 96 whole bodies of 1 MiB with such contents made an entry process of 64 MB use 141 MiB (empty messages) and 92 MiB (100,000 fields), also with the memory budget. Change: bodies with more than 4,096 objects and fields are decoded one at a time; more than 512 fields are held as the body and decoded again to be sent. Result: TestEntryWholeCompletions: 2 of 3 red before, now green with 38 to 45 MiB. go test -race ./internal/entry: ok.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"io"
 	"net/http"
@@ -88,7 +89,7 @@
 	if r.body, refErr = s.readBody(w, hr, r, maxModelBodyBytes(r)); refErr != nil {
 		return refErr
 	}
-	if r.model, refErr = parseModelRequest(hr.URL.Path, r.body); refErr != nil {
+	if r.model, refErr = s.parseBody(hr.URL.Path, r.body); refErr != nil {
 		return refErr
 	}
 	service, ok := r.version.Manifest.ServiceByModel(r.model.model)
@@ -109,6 +110,20 @@
 	return r.setService(hr, service)
 }
 
+// maxParallelValues is the number of JSON objects and fields from which on a body is decoded
+// while no other such body is. An empty message takes 3 bytes of a body, and some 100 while it
+// is decoded.
+const maxParallelValues = 4096
+
+// parseBody is parseModelRequest with a bound on the memory that decoding takes.
+func (s *Server) parseBody(path string, body []byte) (*modelRequest, *refusal.Error) {
+	if bytes.Count(body, []byte("{"))+bytes.Count(body, []byte(`":`)) > maxParallelValues {
+		s.decoding.Lock()
+		defer s.decoding.Unlock()
+	}
+	return parseModelRequest(path, body)
+}
+
 // maxModelBodyBytes returns the largest body limit of all model services, which
 // applies until the body has been read and the service is known.
 func maxModelBodyBytes(r *request) int64 {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -224,6 +224,10 @@
 	if a.req.model == nil {
 		return a.req.body, nil
 	}
+	if a.req.model.raw != nil {
+		a.server.decoding.Lock()
+		defer a.server.decoding.Unlock()
+	}
 	body, err := a.req.model.body(a.res.grant.GetPriority(), overrides)
 	return body, errors.Annotate(err, "encode request for the engine")
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/juju/errors"
+
 	"bilberryhub/internal/openai"
 	"bilberryhub/internal/refusal"
 )
@@ -14,10 +16,16 @@
 // caching is used.
 const maxPrefixHashes = 64
 
+// maxHeldFields is the number of fields up to which they are held in decoded form, which takes
+// some 100 bytes for each beyond those of the body.
+const maxHeldFields = 512
+
 // modelRequest holds the parts of a completion request that the entry process uses.
 type modelRequest struct {
-	// fields holds all fields of the body, to be passed on to the engine.
+	// fields holds all fields of the body, to be passed on to the engine. For a body with more
+	// than maxHeldFields, it is nil, and raw holds the body.
 	fields map[string]json.RawMessage
+	raw    []byte
 	model  string
 	stream bool
 	// maxTokens is the output limit in tokens.
@@ -53,6 +61,9 @@
 		return nil, refusal.New(refusal.BadRequest, "field prompt is missing or empty")
 	}
 	text := req.Text()
+	if len(c.fields) > maxHeldFields {
+		c.fields, c.raw = nil, body
+	}
 	c.model, c.stream = req.Model, req.Stream
 	c.maxTokens = uint64(max(req.MaxTokens, req.MaxCompletionTokens))
 	c.promptTokens = uint64(openai.Tokens(text))
@@ -79,8 +90,14 @@
 // replaced. Fields that this process does not use are passed on unchanged. The output
 // limit is the one for which memory has been reserved.
 func (c *modelRequest) body(priority uint32, overrides map[string]any) ([]byte, error) {
-	fields := make(map[string]any, len(c.fields)+2)
-	for name, raw := range c.fields {
+	held := c.fields
+	if c.raw != nil {
+		if err := json.Unmarshal(c.raw, &held); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	fields := make(map[string]any, len(held)+2)
+	for name, raw := range held {
 		fields[name] = raw
 	}
 	delete(fields, "max_completion_tokens")
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -67,7 +67,7 @@
 func (r *request) releasePrompt() {
 	r.body, r.header = nil, nil
 	if r.model != nil {
-		r.model.fields, r.model.prefix = nil, nil
+		r.model.fields, r.model.raw, r.model.prefix = nil, nil, nil
 	}
 	r.held.Release()
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,6 +100,8 @@
 	// that do not fit.
 	budget        *membudget.Budget
 	refusedBodies *observe.LineLimit
+	// decoding is held while a body is decoded that takes a multiple of its size then.
+	decoding sync.Mutex
 
 	// The listen addresses, with the ports that the operating system assigned.
 	callerAddress, announceAddress string
--- a/internal/hostile/entry_test.go
+++ b/internal/hostile/entry_test.go
@@ -241,3 +241,32 @@
 		t.Run(c.name, func(t *testing.T) { s.check(t, s.announce, c.send) })
 	}
 }
+
+// Guards against an entry process that exceeds the memory of its VM because many whole
+// completion requests, which take a multiple of their size to decode, arrive at the same time.
+func TestEntryWholeCompletions(t *testing.T) {
+	s := startEntrySystem(t)
+	whole := func(first, repeated, last string) func(int, io.Writer) error {
+		body := first + strings.Repeat(repeated, (entryBodyLimit-len(first)-len(last))/len(repeated)) + last
+		return func(i int, w io.Writer) error {
+			_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", Head(modelPath, "Host", "h.example", "Authorization", "Bearer "+crowdKey(i)), len(body), body)
+			return err
+		}
+	}
+	for _, c := range []struct {
+		name string
+		send func(i int, w io.Writer) error
+	}{
+		{"empty messages", whole(`{"model":"m","messages":[{}`, `,{}`, `]}`)},
+		{"fields", func() func(int, io.Writer) error {
+			var fields strings.Builder
+			for i := 0; fields.Len() < entryBodyLimit-200; i++ {
+				fmt.Fprintf(&fields, `,"%d":0`, i)
+			}
+			return whole(`{"model":"m","messages":[{"role":"user","content":"a"}]`, fields.String(), `}`)
+		}()},
+		{"one message", whole(`{"model":"m","messages":[{"role":"user","content":"a`, `a`, `"}]}`)},
+	} {
+		t.Run(c.name, func(t *testing.T) { s.check(t, s.callers, c.send) })
+	}
+}
