--- a/internal/gateway/earlyend_test.go
+++ b/internal/gateway/earlyend_test.go
@@ -126,6 +126,40 @@
 	}
 }
 
+// Guards against a request that may be repeated, and whose caller doesn't get the whole
+// response of another backend server after one that has ended its response early.
+func TestEarlyEndIsContinuedElsewhere(t *testing.T) {
+	const rest = "id: 2\ndata: b\n\n"
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		for name, response := range rawbackend.EarlyEnds("HTTP/1.1 200 OK\r\n"+earlyEndHead, onlyEvent) {
+			t.Run(path+" "+name, func(t *testing.T) {
+				s := newSetup(t)
+				s.g.exchanges.Dial = rawbackend.Dial
+				raw := (&rawbackend.Server{IDHeader: "X-Id", Response: response}).Serve(t)
+				s.announce("server-0", serviceOf(path), "a", raw.Address)
+				s.add("server-1", serviceOf(path), "b", func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					echo(w, r)
+					w.Header().Set("Content-Type", "text/event-stream")
+					if r.Header.Get("Last-Event-Id") == "" {
+						_, _ = io.WriteString(w, onlyEvent)
+					}
+					_, _ = io.WriteString(w, rest)
+				})
+				for i := 0; i < earlyEndTries && raw.Requests.Load() == 0; i++ {
+					status, body, isComplete := s.callWith(path, fmt.Sprint("id-", i), rawbackend.LongBodyBytes)
+					if !isComplete || status != http.StatusOK || body != onlyEvent+rest {
+						t.Errorf("complete %v, status %d with %q", isComplete, status, body)
+					}
+				}
+				if raw.Requests.Load() == 0 {
+					t.Error("the backend server that ends early got no request")
+				}
+			})
+		}
+	}
+}
+
 // Guards against a whole response without a length that counts as ended early, although the
 // backend server has read the long request. Directly and through another gateway.
 func TestWholeResponseToALongRequestIsComplete(t *testing.T) {
