gateway tests: the random return after a pause has a fixed seed

Cause: TestRequestsReturnGraduallyAfterAPause/30_gateways failed in 1 of 8 and 1 of 20 runs (10 of 30 gateways within 100 ms, 9 are allowed): the gateways drew their returns without a seed, and the bound leaves out what chance adds in about one run of thirty. Change: the random source of a gateway is a field, which the fleet of that test seeds; the bound stays.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,8 +105,10 @@
 	ready          *http.Server
 	admin          *observe.Admin
 
-	// now is the clock of choices and notices. Tests replace it.
-	now func() time.Duration
+	// now is the clock of choices and notices, and random returns a random number in [0, 1).
+	// Tests replace them.
+	now    func() time.Duration
+	random func() float64
 	// started is when the Gateway was created.
 	started time.Duration
 	// open is the number of requests of callers that are being served.
@@ -126,7 +128,7 @@
 // New returns a gateway that doesn't listen yet. Start starts it.
 func New(s Settings, d Dialect, log *zap.Logger) *Gateway {
 	g := &Gateway{
-		settings: s, dialect: d, log: log, now: bootclock.Now, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
+		settings: s, dialect: d, log: log, now: bootclock.Now, random: rand.Float64, started: bootclock.Now(), incarnation: rand.Uint64(), workTable: newWorkTable(), health: newHealth(),
 		callerConns: callerconn.NewSet(), budget: newBudget(s), held: membudget.New(membudget.Capacity(s.HeldMB, s.MemoryMB, defaultMaxBodyBytes)), heldLines: observe.NewLineLimit(heldLinesPerSecond), reachability: newReachability(), isolation: newIsolation(), suspects: newSuspects(), limits: newLimits(), notices: &notices{}, exchanges: exchange.NewPool(maxIdleConns),
 	}
 	g.sendDatagram = func(data []byte, to netip.AddrPort) error {
@@ -166,9 +168,6 @@
 	}
 }
 
-// random returns a random number in [0, 1).
-func (g *Gateway) random() float64 { return rand.Float64() }
-
 // Start opens the listeners and starts serving. It returns an error if a
 // listener can't be opened.
 func (g *Gateway) Start() error {
--- a/internal/gateway/notices_fleet_test.go
+++ b/internal/gateway/notices_fleet_test.go
@@ -72,6 +72,7 @@
 	for i := range gateways {
 		g := New(Settings{ID: fmt.Sprintf("g%d", i), FailureDomain: "a", AnnounceMs: 1000}, testDialect{}, zap.NewNop())
 		g.now = func() time.Duration { return f.now }
+		g.random = rand.New(rand.NewPCG(seed, uint64(1_000_000+i))).Float64
 		g.sync = &testConfig{version: version}
 		t.Cleanup(g.cancel)
 		for s := range servers {
