gateway: prompts larger than one engine wait; counters of engine choices

Counters say how many model requests went to engines without a free slot and out of the failure domain. Entry tests: requests of the tests of early ends have a reservation, which relayResponse needs since the memory budget.

--- a/internal/entry/earlyend_test.go
+++ b/internal/entry/earlyend_test.go
@@ -80,9 +80,18 @@
 func (e *earlyEndRelay) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
+	held, err := e.server.budget.Reserve("account", 0)
+	if err != nil {
+		e.t.Error(err)
+		return
+	}
+	defer held.Release()
 	a := &attempt{
 		server: e.server, id: earlyEndID, log: zap.NewNop(), member: e.member, start: time.Now(),
-		req: &request{method: http.MethodPost, path: "/x", header: http.Header{}, deadline: time.Now().Add(10 * time.Second), idempotent: e.kind.isIdempotent},
+		req: &request{
+			method: http.MethodPost, path: "/x", header: http.Header{}, deadline: time.Now().Add(10 * time.Second),
+			idempotent: e.kind.isIdempotent, held: held,
+		},
 		res: &reservation{
 			grant: &wirepb.Grant{Members: []*wirepb.GrantMember{e.member}}, reserve: &wirepb.Reserve{},
 			send: func(*wirepb.Progress) {}, permitExpiry: time.Now().Add(time.Hour),
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
@@ -178,6 +179,7 @@
 		return nil, d.err
 	}
 	p := d.pick
+	countChoice(&d, g.settings.FailureDomain)
 	g.takePermit(p.job.backend, now)
 	g.workTable.add(p.job)
 	for _, h := range p.helperJobs {
@@ -189,6 +191,27 @@
 	return p, nil
 }
 
+var (
+	engineChoices       = metrics.GetOrCreateCounter(`bilberry_gateway_engine_choices_total`)
+	engineChoicesFull   = metrics.GetOrCreateCounter(`bilberry_gateway_engine_choices_without_free_slot_total`)
+	engineChoicesRemote = metrics.GetOrCreateCounter(`bilberry_gateway_engine_choices_remote_total`)
+)
+
+// countChoice counts the choice of an engine, and whether it had no free slot, as far as this
+// gateway knew, or is in another failure domain than the local one.
+func countChoice(d *decision, local string) {
+	if !d.isPlaced {
+		return
+	}
+	engineChoices.Inc()
+	if d.pick.open >= max(1, d.pick.backend.Slots) {
+		engineChoicesFull.Inc()
+	}
+	if d.pick.backend.FailureDomain != local {
+		engineChoicesRemote.Inc()
+	}
+}
+
 // decide chooses a backend server or refuses. It changes nothing, apart from what the
 // situation's condition does, so that an explanation runs the same code as a choice.
 func (g *Gateway) decide(s *situation, r *request, service *manifest.RoutedService, excluded []string) decision {
@@ -387,6 +410,9 @@
 		return errFull
 	}
 	if r.events == 0 && d.choice.Holders > 0 && d.choice.Loss > maxSplitLossShare*d.request.Value {
+		if r.attempts == 0 && ms(now-r.arrived) < d.policy.SplitWait*r.route.ObjectiveMs {
+			return errDeferred
+		}
 		return &overloadError{untilMs: d.choice.FirstEventMs}
 	}
 	if d.choice.Defer && r.attempts == 0 && ms(now-r.arrived) < maxDeferShare*r.route.ObjectiveMs {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -102,6 +102,10 @@
 	// RemoteShare is the cost of leaving the local failure domain, as a share of the
 	// request's value. It replaces remoteCostShare if it is larger.
 	RemoteShare float64 `json:"remote_share"`
+	// SplitWait is the share of its objective for which a prompt that is larger than one
+	// engine waits for a moment at which few others lose by it. Without it such a prompt is
+	// refused at the first look, which finds decoding requests on most engines.
+	SplitWait float64 `json:"split_wait"`
 }
 
 // Engine is one candidate engine.
