--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -34,6 +34,7 @@
 	"long-outage": longOutage,
 	"heads":       heads,
 	"channels":    manyChannels,
+	"silence":     silence,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/replica.go
+++ b/review/rig2/replica.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,13 +22,18 @@
 type replicaSettings struct {
 	ID, Service, Address, Domain string
 	Controls                     []string
-	Slots                        int
+	// Slots is the number of requests that it runs at a time. It rejects more if IsLimited is
+	// set.
+	Slots     int
+	IsLimited bool
 	// RunsPath is the file to which a line is appended for each run.
 	RunsPath string
 	// Events is the number of events of a stream, and EventMs the time between two of them.
 	Events, EventMs int
 	// Unframed is set if answers have neither a length nor chunks.
 	Unframed bool
+	// Random is set if the framing is drawn for each answer.
+	Random bool
 	// WorkMs is the time that a plain request takes, half of it after half of the body.
 	WorkMs int
 	// ServeMs is how long the replica still serves after it has announced that it leaves.
@@ -48,6 +54,7 @@
 	sequence atomic.Int64
 	state    atomic.Pointer[string]
 	runs     *os.File
+	running  atomic.Int64
 	mu       sync.Mutex
 }
 
@@ -153,15 +160,30 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, hr.Body)
+	defer r.running.Add(-1)
+	if r.running.Add(1) > int64(r.set.Slots) && r.set.IsLimited {
+		r.run("rejects %s, it is full", id)
+		h.Set(names.NotRun, "full")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	h.Set(names.Seal, "seal-"+id)
 	r.run("runs %s %s %s key %q", id, hr.Method, hr.URL.Path, hr.Header.Get(names.Key))
 	defer r.run("ended %s", id)
-	if strings.HasPrefix(hr.URL.Path, "/long/") {
+	if strings.HasPrefix(hr.URL.Path, "/long/") || strings.HasPrefix(hr.URL.Path, "/quick/") {
 		r.stream(w, hr, id)
 		return
 	}
 	body := plainBody(id)
-	if !r.set.Unframed {
+	framing := r.framing()
+	if framing == framedByChunks {
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(time.Duration(r.set.WorkMs) * time.Millisecond)
+		_, _ = io.WriteString(w, body[len(body)/2:])
+		return
+	}
+	if framing == framedByLength {
 		h.Set("Content-Length", fmt.Sprint(len(body)))
 		time.Sleep(time.Duration(r.set.WorkMs) * time.Millisecond)
 		_, _ = io.WriteString(w, body)
@@ -177,6 +199,24 @@
 	_, _ = io.WriteString(conn, body[len(body)/2:])
 }
 
+// The framings of answers. Streams have chunks where plain answers have a length.
+const (
+	framedByLength = iota
+	framedByChunks
+	framedByConnection
+)
+
+// framing returns the framing of the next answer.
+func (r *replica) framing() int {
+	switch {
+	case r.set.Random:
+		return rand.IntN(framedByConnection + 1)
+	case r.set.Unframed:
+		return framedByConnection
+	}
+	return framedByLength
+}
+
 // plainBody returns the body of the answer to a plain request.
 func plainBody(id string) string {
 	return id + " " + strings.Repeat("x", 760) + " end"
@@ -204,7 +244,7 @@
 	_, _ = fmt.Sscan(hr.Header.Get(names.LastEvent), &first)
 	var out io.Writer = w
 	flush := func() { _ = http.NewResponseController(w).Flush() }
-	if r.set.Unframed {
+	if r.framing() == framedByConnection {
 		conn := r.hijack(w, "text/event-stream", id)
 		if conn == nil {
 			return
