--- a/review/rig2/channels.go
+++ b/review/rig2/channels.go
@@ -39,7 +39,13 @@
 // manyChannels checks that a gateway which says that it is ready takes new connections while
 // untrusted callers keep connections open.
 func manyChannels(record *Record, trouble bool) (bool, error) {
-	const maxDescriptors, crowds, connections, tries = 4100, 5, 900, 30
+	const (
+		maxDescriptors, crowds, connections = 4100, 6, 900
+		// New channels are tried at an interval. If those of 3 s in a row, and one more, are not
+		// answered, none was taken for stable-window-ms.
+		tries, tryInterval = 40, 200 * time.Millisecond
+		windowTries        = int(3*time.Second/tryInterval) + 1
+	)
 	s, err := newSystem(record, 1)
 	if err != nil {
 		return false, err
@@ -76,9 +82,10 @@
 		}
 		wg.Wait()
 	}
-	// The window begins when the crowd is there: nobody else disturbs the gateway.
+	// The crowd is there, and does nothing any more.
 	readyAnswers, answered := 0, 0
-	results := make(chan answer, tries)
+	taken := make([]bool, tries)
+	var wg sync.WaitGroup
 	for n := range tries {
 		if n%5 == 0 {
 			a := ready.send(http.MethodGet, names.Ready, "", time.Second)
@@ -87,19 +94,24 @@
 				readyAnswers++
 			}
 		}
-		go func() {
+		wg.Go(func() {
 			a := request(s.callers(0), http.MethodGet, "/read/1", callerKey, time.Second, nil)
-			record.Line("new channel: %v", a)
-			results <- a
-		}()
-		time.Sleep(200 * time.Millisecond)
+			record.Line("new channel %d: %v", n, a)
+			taken[n] = a.status != 0
+		})
+		time.Sleep(tryInterval)
 	}
-	for range tries {
-		if a := <-results; a.status != 0 {
+	wg.Wait()
+	longest, row := 0, 0
+	for _, t := range taken {
+		if row++; t {
 			answered++
+			row = 0
 		}
+		longest = max(longest, row)
 	}
-	record.Line("%d of %d new channels were answered, %d of %d ready checks", answered, tries, readyAnswers, tries/5)
+	record.Line("%d of %d new channels were answered, %d of %d ready checks; %d in a row were not answered, tried within %v",
+		answered, tries, readyAnswers, tries/5, longest, time.Duration(longest)*tryInterval)
 	s.recordRuns()
-	return answered == 0 && readyAnswers == tries/5, nil
+	return longest >= windowTries && readyAnswers == tries/5, nil
 }
--- a/review/rig2/crowd.go
+++ b/review/rig2/crowd.go
@@ -20,39 +20,57 @@
 // until its standard input ends, and prints how many it has.
 func runCrowd(address string, connections, headBytes int) error {
 	var open []net.Conn
-	for i := range connections {
-		conn, err := net.DialTimeout("tcp", address, 2*time.Second)
+	for i, failures := 0, 0; len(open) < connections && failures < maxCrowdFailures; i++ {
+		conn, err := openInCrowd(address, i, headBytes)
 		if err != nil {
+			failures++
 			fmt.Println("connection", i, err)
-			break
-		}
-		open = append(open, conn)
-		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-		if headBytes > 0 {
-			head := "POST /set/1 HTTP/1.1\r\nHost: a.example\r\n"
-			for n := 0; len(head) < headBytes; n++ {
-				head += fmt.Sprintf("X-Field-%d: %s\r\n", n, strings.Repeat("v", 1000))
-			}
-			_, err = io.WriteString(conn, head[:headBytes])
-		} else {
-			id, text := requestText(http.MethodGet, "/read/1", callerKey, time.Second)
-			if _, err = io.WriteString(conn, strings.Replace(text, id, fmt.Sprintf("c%d-%d", os.Getpid(), i), 1)); err == nil {
-				var resp *http.Response
-				if resp, err = http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
-					_, err = io.Copy(io.Discard, resp.Body)
-				}
-			}
-		}
-		if err != nil {
-			fmt.Println("connection", i, err)
-			break
+			continue
 		}
+		open, failures = append(open, conn), 0
 	}
 	fmt.Println("open:", len(open))
 	_, _ = io.Copy(io.Discard, os.Stdin)
 	return nil
 }
 
+// maxCrowdFailures is the number of failed connections in a row after which a crowd opens no
+// more.
+const maxCrowdFailures = 3
+
+// openInCrowd opens connection i of a crowd.
+func openInCrowd(address string, i, headBytes int) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, 2*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	if headBytes > 0 {
+		head := "POST /set/1 HTTP/1.1\r\nHost: a.example\r\n"
+		for n := 0; len(head) < headBytes; n++ {
+			head += fmt.Sprintf("X-Field-%d: %s\r\n", n, strings.Repeat("v", 1000))
+		}
+		_, err = io.WriteString(conn, head[:headBytes])
+	} else {
+		id, text := requestText(http.MethodGet, "/read/1", callerKey, time.Second)
+		text = strings.Replace(text, id, fmt.Sprintf("%s%d-%d", crowdPrefix, os.Getpid(), i), 1)
+		if _, err = io.WriteString(conn, text); err == nil {
+			var resp *http.Response
+			if resp, err = http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+		}
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// crowdPrefix begins the ids of the requests of crowds.
+const crowdPrefix = "crowd-"
+
 // crowd is a process that holds connections of untrusted callers.
 type crowd struct {
 	cmd   *exec.Cmd
--- a/review/rig2/heads.go
+++ b/review/rig2/heads.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// headsMemoryMB is the memory of a gateway's VM, headsConnections the number of
-	// connections of untrusted callers to each gateway, and headsBytes what each has sent of
-	// the head of its request.
+	// headsMemoryMB is the memory of a gateway's VM. headsCrowds processes of untrusted callers
+	// open headsConnections connections each to a gateway, and send headsBytes of the head of
+	// a request on each.
 	headsMemoryMB    = 184
-	headsConnections = 3000
+	headsCrowds      = 4
+	headsConnections = 750
 	headsBytes       = 60_000
 	// headsRounds is how often the platform has to kill a process for the rule to be broken.
 	headsRounds = 3
@@ -74,11 +75,13 @@
 			}
 			continue
 		}
-		begun := make(chan *crowd, 1)
-		go func() {
-			c, _ := s.startCrowd(s.callers(n), headsConnections, headsBytes)
-			begun <- c
-		}()
+		begun := make(chan *crowd, headsCrowds)
+		for range headsCrowds {
+			go func() {
+				c, _ := s.startCrowd(s.callers(n), headsConnections, headsBytes)
+				begun <- c
+			}()
+		}
 		largest := 0.0
 		for round := time.Now(); time.Since(round) < 12*time.Second; time.Sleep(20 * time.Millisecond) {
 			mb := g.anonMemory()
@@ -93,8 +96,10 @@
 			s.signal(g, syscall.SIGKILL)
 			<-g.ended
 		}
-		if c := <-begun; c != nil {
-			c.end()
+		for range headsCrowds {
+			if c := <-begun; c != nil {
+				c.end()
+			}
 		}
 		if !g.isRunning() {
 			time.Sleep(500 * time.Millisecond)
--- a/review/rig2/replica.go
+++ b/review/rig2/replica.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -32,8 +31,6 @@
 	Events, EventMs int
 	// Unframed is set if answers have neither a length nor chunks.
 	Unframed bool
-	// Random is set if the framing is drawn for each answer.
-	Random bool
 	// WorkMs is the time that a plain request takes, half of it after half of the body.
 	WorkMs int
 	// ServeMs is how long the replica still serves after it has announced that it leaves.
@@ -175,15 +172,7 @@
 		return
 	}
 	body := plainBody(id)
-	framing := r.framing()
-	if framing == framedByChunks {
-		_, _ = io.WriteString(w, body[:len(body)/2])
-		_ = http.NewResponseController(w).Flush()
-		time.Sleep(time.Duration(r.set.WorkMs) * time.Millisecond)
-		_, _ = io.WriteString(w, body[len(body)/2:])
-		return
-	}
-	if framing == framedByLength {
+	if !r.set.Unframed {
 		h.Set("Content-Length", fmt.Sprint(len(body)))
 		time.Sleep(time.Duration(r.set.WorkMs) * time.Millisecond)
 		_, _ = io.WriteString(w, body)
@@ -199,24 +188,6 @@
 	_, _ = io.WriteString(conn, body[len(body)/2:])
 }
 
-// The framings of answers. Streams have chunks where plain answers have a length.
-const (
-	framedByLength = iota
-	framedByChunks
-	framedByConnection
-)
-
-// framing returns the framing of the next answer.
-func (r *replica) framing() int {
-	switch {
-	case r.set.Random:
-		return rand.IntN(framedByConnection + 1)
-	case r.set.Unframed:
-		return framedByConnection
-	}
-	return framedByLength
-}
-
 // plainBody returns the body of the answer to a plain request.
 func plainBody(id string) string {
 	return id + " " + strings.Repeat("x", 760) + " end"
@@ -244,7 +215,7 @@
 	_, _ = fmt.Sscan(hr.Header.Get(names.LastEvent), &first)
 	var out io.Writer = w
 	flush := func() { _ = http.NewResponseController(w).Flush() }
-	if r.framing() == framedByConnection {
+	if r.set.Unframed {
 		conn := r.hijack(w, "text/event-stream", id)
 		if conn == nil {
 			return
@@ -288,9 +259,18 @@
 	return p, s.start(p)
 }
 
-// recordRuns copies the file of runs into the record.
+// recordRuns copies the file of runs into the record, but for those of crowds.
 func (s *System) recordRuns() string {
 	data, _ := os.ReadFile(filepath.Join(s.dir, "runs"))
-	s.record.Line("runs of the replicas, with the time of day:\n%s", data)
+	var b strings.Builder
+	omitted := 0
+	for line := range strings.Lines(string(data)) {
+		if strings.Contains(line, " "+crowdPrefix) {
+			omitted++
+			continue
+		}
+		b.WriteString(line)
+	}
+	s.record.Line("runs of the replicas, with the time of day, without %d lines for crowds:\n%s", omitted, b.String())
 	return string(data)
 }
