--- a/review/rig2/silence.go
+++ b/review/rig2/silence.go
@@ -12,14 +12,15 @@
 // silent for a while, just after the settings of the gateway were read again.
 func silence(record *Record, trouble bool) (bool, error) {
 	const (
-		replicas, slots    = 3, 2
-		events, eventMs    = 60, 100
-		silentAfter        = 10
-		silentFor          = 1600 * time.Millisecond
-		fillers            = replicas*slots - 1
-		deadline           = 10 * time.Second
-		fillerDeadline     = 15 * time.Second
-		afterSettingsWrite = 300 * time.Millisecond
+		replicas, slots = 3, 2
+		events, eventMs = 30, 240
+		// The replica falls silent stopAfter after an event, shortly before the next one.
+		silentAfter, stopAfter = 5, 200 * time.Millisecond
+		silentFor              = 1400 * time.Millisecond
+		fillers                = replicas*slots - 1
+		deadline               = 10 * time.Second
+		fillerDeadline         = 15 * time.Second
+		afterSettingsWrite     = 300 * time.Millisecond
 	)
 	s, err := startSystem(record, 3, 1, 1, 0)
 	if s != nil {
@@ -58,6 +59,7 @@
 		case n := <-seen:
 			if n == silentAfter && trouble {
 				r := s.replicas[s.runningReplica()]
+				time.Sleep(stopAfter)
 				s.signal(r, syscall.SIGSTOP)
 				time.Sleep(silentFor)
 				s.signal(r, syscall.SIGCONT)
