--- a/review/rig2/outage.go
+++ b/review/rig2/outage.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -17,8 +18,9 @@
 	recoveryTime = 12 * time.Second
 )
 
-// longOutage checks that callers are served after all control VMs were down for a minute
-// and the replicas have been replaced one after the other since.
+// longOutage checks that callers are served after a final fault, in which all control VMs were
+// down for a minute and one lost its disk, and the replicas have been replaced one after the
+// other since.
 func longOutage(record *Record, trouble bool) (bool, error) {
 	s, err := startSystem(record, 3, 2, 1, 0)
 	if s != nil {
@@ -45,13 +47,21 @@
 	if served, sent := s.load("before", 2*time.Second); served < sent {
 		return false, fmt.Errorf("%d of %d requests were served before", served, sent)
 	}
+	if status, _ := s.operate(http.MethodPut, names.Config, s.desired(callerKey), s.seeds(), 5*time.Second); status != http.StatusOK {
+		return false, fmt.Errorf("the change before the final fault has status %d", status)
+	}
 	if trouble {
+		// The final fault: one loses its disk, and the others lose power.
 		for _, p := range s.controls {
 			s.kill(p)
 		}
 		time.Sleep(outageTime)
-		for _, p := range s.controls {
+		for n, p := range s.controls {
 			delete(p.settings, "bootstrap")
+			if n == 0 {
+				p.settings["data_dir"] = filepath.Join(s.dir, "empty")
+				record.Line("%s has an empty disk", p.name)
+			}
 			if err := s.start(p); err != nil {
 				return false, err
 			}
