--- a/review/rig2/channels.go
+++ b/review/rig2/channels.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -73,14 +74,19 @@
 	g := s.gateways[0]
 	if trouble {
 		var wg sync.WaitGroup
-		for range crowds {
+		errs := make([]error, crowds)
+		for n := range crowds {
 			wg.Go(func() {
-				if c, err := s.startCrowd(s.callers(0), connections, 0); err == nil {
+				var c *crowd
+				if c, errs[n] = s.startCrowd(s.callers(0), connections, 0); errs[n] == nil {
 					s.ends(c.end)
 				}
 			})
 		}
 		wg.Wait()
+		if err := errors.Join(errs...); err != nil {
+			return false, err
+		}
 	}
 	// The crowd is there, and does nothing any more.
 	readyAnswers, answered := 0, 0
--- a/review/rig2/heads.go
+++ b/review/rig2/heads.go
@@ -75,11 +75,12 @@
 			}
 			continue
 		}
-		begun := make(chan *crowd, headsCrowds)
+		begun, failed := make(chan *crowd, headsCrowds), make(chan error, headsCrowds)
 		for range headsCrowds {
 			go func() {
-				c, _ := s.startCrowd(s.callers(n), headsConnections, headsBytes)
+				c, err := s.startCrowd(s.callers(n), headsConnections, headsBytes)
 				begun <- c
+				failed <- err
 			}()
 		}
 		largest := 0.0
@@ -100,6 +101,9 @@
 			if c := <-begun; c != nil {
 				c.end()
 			}
+			if err := <-failed; err != nil {
+				return err
+			}
 		}
 		if !g.isRunning() {
 			time.Sleep(500 * time.Millisecond)
