--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -218,7 +218,7 @@
 	s.mu.Lock()
 	s.all = append(s.all, p)
 	s.mu.Unlock()
-	s.record.Line("start %s (%s)", p.name, p.program)
+	s.record.Line("start %s (%s)", p.name, filepath.Base(p.program))
 	return nil
 }
 
