Log why a gateway has given an attempt up

The line doesn't tell whether the watchdog, the loss of the own path or that of a failure domain closed it.

attempt ended has canceled_for.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,6 +69,7 @@
 	triedBefore    []string
 	isContinuation bool
 	sent           time.Duration
+	stall          *watchdog
 	// buffered is a complete response that reports a failure.
 	buffered *bufferedResponse
 	err      error
@@ -297,6 +298,7 @@
 	// that hangs is distinguished from one that works.
 	stall := newWatchdog(cancel, a.firstEventLimit(), a.extendWait)
 	defer stall.stop()
+	a.stall = stall
 	g.reachability.begin(a, stall)
 	defer g.reachability.end(a)
 	if len(a.pick.reservations) > 0 {
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -55,6 +55,11 @@
 	if a.path.gateway != "" {
 		fields = append(fields, zap.String("through_gateway", a.path.gateway))
 	}
+	if a.stall != nil {
+		if cause := a.stall.cause.Load(); cause != nil {
+			fields = append(fields, zap.String("canceled_for", string(*cause)))
+		}
+	}
 	if a.end.kind != "" {
 		fields = append(fields, zap.String("framing", string(a.framing)), zap.String("body_end", a.end.kind),
 			zap.Float64("body_ended_ms", ms(a.end.at-a.sent)), zap.String("last_event", a.r.caller.LastEvent), zap.Int("events", a.r.events))
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -161,7 +161,7 @@
 	moved := 0
 	for a, w := range g.reachability.attempts {
 		if a.isDirect.Load() && a.isSilent(since, now) && !w.fired() && a.canFailOver(now) {
-			w.fire()
+			w.fire(causeLostPath)
 			moved++
 		}
 	}
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -109,7 +109,7 @@
 	moved := 0
 	for a, w := range g.reachability.attempts {
 		if a.dependsOn(domain) && a.canFailOver(now) {
-			w.fire()
+			w.fire(causeFailureDomain)
 			moved++
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,11 +50,21 @@
 // watchdog cancels an attempt without progress, unless it is better to wait
 // longer.
 type watchdog struct {
-	timer   *time.Timer
-	cancel  func()
-	didFire atomic.Bool
+	timer  *time.Timer
+	cancel func()
+	// cause is why the attempt was canceled, nil before.
+	cause atomic.Pointer[cancelCause]
 }
 
+// cancelCause is why a gateway has given an attempt up.
+type cancelCause string
+
+const (
+	causeSilence       cancelCause = "silence"
+	causeLostPath      cancelCause = "lost path"
+	causeFailureDomain cancelCause = "failure domain unreachable"
+)
+
 // newWatchdog returns a watchdog that cancels after limit; 0 means not before
 // the first reset. wait returns how much longer to wait, or 0 to cancel now.
 func newWatchdog(cancel func(), limit time.Duration, wait func() time.Duration) *watchdog {
@@ -67,14 +77,14 @@
 			w.timer.Reset(more)
 			return
 		}
-		w.fire()
+		w.fire(causeSilence)
 	})
 	return w
 }
 
 // fire cancels the attempt now.
-func (w *watchdog) fire() {
-	w.didFire.Store(true)
+func (w *watchdog) fire(cause cancelCause) {
+	w.cause.CompareAndSwap(nil, &cause)
 	w.cancel()
 }
 
@@ -83,7 +93,7 @@
 func (w *watchdog) reset(limit time.Duration) { w.timer.Reset(limit) }
 
 // fired reports whether the watchdog has canceled the attempt.
-func (w *watchdog) fired() bool { return w.didFire.Load() }
+func (w *watchdog) fired() bool { return w.cause.Load() != nil }
 
 // extendWait returns how much longer to wait for a stream that has been silent
 // for long. Cutting it helps the caller only if another backend server may
