Keep a response that has begun until another backend server continues it

Cause: the attempt at the silent backend server was canceled before another one was known to take the stream. The next one was full (503, not run), max-attempts was used up, and there was no way back. Evidence: attempt ended has canceled_for silence 1.5 s after the last event, then a refusal with 503. The watchdog did this, and so did the loss of the own path and of a failure domain, for streams and for other responses that had begun.

Change: such an attempt isn't canceled. A second attempt runs beside it; whichever sends the next part of the response first serves the caller, and the other one is canceled at once. A refusal or failure of the second changes nothing. The state of the request is handed over under one lock. Requests that aren't idempotent never get a second attempt, and max-attempts and the retry budget count it. Why it works: at no moment is the response held by nobody that may still send it.

Ruled out: waiting as long as the caller does (a stream of a server that hangs for good is always lost), asking for a place first (engines have no such call).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,6 +55,8 @@
 	respondedWithFailure
 	// callerGone: the caller has disconnected, or the deadline has passed.
 	callerGone
+	// superseded: another attempt of the request continues the response.
+	superseded
 )
 
 // attempt is one try of a request at one backend server.
@@ -64,6 +66,13 @@
 	pick *pick
 	// number counts the attempts of the request, from 1.
 	number int
+	// try counts the backend servers that were chosen, from 1, also those that were not reached.
+	try int
+	// successor is set for an attempt that runs beside an earlier one, and succession is that of
+	// this attempt. ctx is the context of run.
+	successor  *successor
+	succession succession
+	ctx        context.Context
 	// triedBefore holds the ids of the backend servers of earlier attempts.
 	// isContinuation is set if the caller already has a part of the response.
 	triedBefore    []string
@@ -123,51 +132,67 @@
 	g.budget.request(r.service.Name, bootclock.Now())
 	var buffered *bufferedResponse
 	defer func() { buffered.release() }()
-	ran := false
 	r.features = r.crashFeatures()
 	// paused is the pause because of which an attempt was not made, if there is one.
 	var last, paused error
 	for {
 		p, err := g.chooseOrWait(ctx, r)
 		if errors.Is(err, errCallerGone) {
-			return g.expired(ctx, r, ran, buffered)
+			return g.expired(ctx, r, r.ran, buffered)
 		}
 		if err != nil {
 			if buffered != nil {
 				return g.forwardResponse(r, buffered)
 			}
-			return g.noBackendError(r, earlier(paused, err), ran)
+			return g.noBackendError(r, earlier(paused, err), r.ran)
 		}
-		a := &attempt{g: g, r: r, pick: p, number: r.attempts + 1, triedBefore: slices.Clone(r.tried), isContinuation: r.status != 0}
-		result := a.run(ctx)
-		g.workTable.remove(append(p.helperJobs, p.job)...)
-		g.logAttempt(a, result)
+		a, result := g.runAttempt(ctx, g.newAttempt(r, p))
 		switch result {
 		case served:
 			return nil
 		case callerGone:
-			return g.expired(ctx, r, ran || a.sent > 0, buffered)
+			return g.expired(ctx, r, r.ran || a.sent > 0, buffered)
 		case respondedWithFailure:
 			buffered.release()
-			buffered, ran = a.buffered, true
+			buffered, r.ran = a.buffered, true
 		case mayHaveRun:
-			ran = true
+			r.ran = true
 		}
 		last, paused = a.err, earlier(paused, a.err)
-		r.tried = append(r.tried, p.backend.ID)
-		if len(r.tried) >= maxBackendsTried || !g.allowRetry(r, a.sent > 0, ran) {
+		r.tried = append(r.tried, a.pick.backend.ID)
+		if len(r.tried) >= maxBackendsTried || !g.allowRetry(r, a.sent > 0) {
 			break
 		}
 	}
 	if buffered != nil {
 		return g.forwardResponse(r, buffered)
 	}
-	if ran {
+	if r.ran {
 		return refuse(http.StatusBadGateway, "the outcome is unknown: %v", last)
 	}
 	return unavailable(g.backoff(r, last), "no backend server has run it: %v", last)
 }
 
+// newAttempt returns an attempt at the backend server that was chosen.
+func (g *Gateway) newAttempt(r *request, p *pick) *attempt {
+	return &attempt{
+		g: g, r: r, pick: p, number: r.attempts + 1, try: len(r.tried) + 1, triedBefore: slices.Clone(r.tried), isContinuation: r.status != 0,
+	}
+}
+
+// runAttempt carries out an attempt, and the successor that may be started beside it. It returns
+// the one whose result counts.
+func (g *Gateway) runAttempt(ctx context.Context, a *attempt) (*attempt, attemptResult) {
+	result := a.run(ctx)
+	g.workTable.remove(append(a.pick.helperJobs, a.pick.job)...)
+	g.logAttempt(a, result)
+	if next := a.settle(result); next != nil {
+		a.buffered.release()
+		return next.attempt, next.result
+	}
+	return a, result
+}
+
 // errCallerGone is returned if the caller has disconnected or its deadline has
 // passed.
 var errCallerGone = errors.New("the caller waits no longer")
@@ -213,8 +238,8 @@
 
 // allowRetry reports whether a request may be sent to another backend server.
 // It takes the retry from the budget if the last attempt was sent.
-func (g *Gateway) allowRetry(r *request, sent, ran bool) bool {
-	if !g.canRetry(r, r.attempts+1, ran) {
+func (g *Gateway) allowRetry(r *request, sent bool) bool {
+	if !g.canRetry(r, r.attempts+1, r.ran) {
 		return false
 	}
 	return !sent || g.budget.take(r.service.Name, g.members.count(), bootclock.Now())
@@ -292,13 +317,14 @@
 	if remaining < minAttemptTime/2 || ctx.Err() != nil {
 		return callerGone
 	}
+	runCtx := ctx
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	// The watchdog ends an attempt without progress, so that a backend server
 	// that hangs is distinguished from one that works.
-	stall := newWatchdog(cancel, a.firstEventLimit(), a.extendWait)
+	stall := newWatchdog(cancel, a.firstEventLimit(), a.onSilence)
 	defer stall.stop()
-	a.stall = stall
+	a.stall, a.ctx = stall, runCtx
 	g.reachability.begin(a, stall)
 	defer g.reachability.end(a)
 	if len(a.pick.reservations) > 0 {
@@ -318,7 +344,7 @@
 	a.sent = bootclock.Now()
 	a.sentAt.Store(int64(a.sent))
 	a.allowed = allowedTime(r.deadline - a.sent)
-	r.attempts++
+	a.openSuccession()
 	// While the request is being sent, the attempt may be moved already.
 	a.isDirect.Store(!g.isolation.isIsolated())
 	response, path, err := g.send(ctx, a.pick.backend, len(r.tried) == 0, exchange.Request{
@@ -342,7 +368,7 @@
 	if info.NotRun {
 		return a.handleRefusal(response, info)
 	}
-	r.backend = a.pick.backend.ID
+	a.recordResponder()
 	if r.route.Repeat == manifest.RepeatStream && response.Status == http.StatusOK {
 		if r.events > 0 && response.Header.Get("Content-Type") != r.contentType {
 			a.err = errors.Errorf("%s continues a stream of type %q with type %q", a.pick.backend.ID, r.contentType, response.Header.Get("Content-Type"))
@@ -413,9 +439,11 @@
 	now := bootclock.Now()
 	var notSent *exchange.NotSentError
 	switch {
+	case a.isSuperseded():
+		return superseded
 	case errors.As(err, &notSent):
 		a.sent = 0
-		a.r.attempts--
+		a.uncount()
 		if a.isQuarantined.Load() {
 			return notRun
 		}
@@ -445,10 +473,11 @@
 	return mayHaveRun
 }
 
-// isOver reports whether the request ends for another reason than its backend server: the
-// caller has left, its deadline has passed, or this process ends.
+// isOver reports whether the attempt ends for another reason than its backend server: the
+// caller has left, its deadline has passed, this process ends, or the attempt beside which this
+// one runs has gone on.
 func (a *attempt) isOver(now time.Duration) bool {
-	return a.r.http.Context().Err() != nil || a.r.deadline-now <= responseMargin || a.g.serving.Err() != nil
+	return a.r.http.Context().Err() != nil || a.r.deadline-now <= responseMargin || a.g.serving.Err() != nil || a.successor.mustStop()
 }
 
 // recordSilence records the failure of a backend server that gave no response in
@@ -456,7 +485,7 @@
 // slow.
 func (a *attempt) recordSilence(now time.Duration) {
 	o := outcomeUnreachable
-	if now-a.g.health.lastReceived(a.pick.job.backend) < now-a.sent {
+	if a.g.health.lastReceived(a.pick.job.backend) > time.Duration(a.sentAt.Load()) {
 		o = outcomeFailed
 	}
 	a.blame(o, now)
@@ -522,7 +551,11 @@
 			held.Release()
 		}
 	}()
+	a.succession.hasBegun.Store(true)
 	body, err := a.readResponse(held, response)
+	if a.isSuperseded() {
+		return superseded
+	}
 	if isOverBudget(err) {
 		return a.handleNotHeld(response, body, stall, err)
 	}
@@ -547,6 +580,11 @@
 		return respondedWithFailure
 	}
 	a.g.health.record(a.pick.job.backend, outcomeServed, now)
+	if !a.beginSending() {
+		a.err = errSuperseded
+		return superseded
+	}
+	defer a.endSending()
 	if err := a.g.forwardResponse(a.r, buffered); err != nil {
 		a.err = err
 		return callerGone
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -60,6 +60,9 @@
 			fields = append(fields, zap.String("canceled_for", string(*cause)))
 		}
 	}
+	if a.successor != nil {
+		fields = append(fields, zap.String("beside", a.successor.of.pick.backend.ID))
+	}
 	if a.end.kind != "" {
 		fields = append(fields, zap.String("framing", string(a.framing)), zap.String("body_end", a.end.kind),
 			zap.Float64("body_ended_ms", ms(a.end.at-a.sent)), zap.String("last_event", a.r.caller.LastEvent), zap.Int("events", a.r.events))
@@ -69,13 +72,13 @@
 
 // logAttempt logs the end of an attempt.
 func (g *Gateway) logAttempt(a *attempt, result attemptResult) {
-	names := [...]string{"served", "not run", "may have run", "answered with a failure", "caller gone"}
+	names := [...]string{"served", "not run", "may have run", "answered with a failure", "caller gone", "superseded"}
 	helpers := make([]string, 0, len(a.pick.helpers))
 	for _, h := range a.pick.helpers {
 		helpers = append(helpers, h.ID)
 	}
 	now := bootclock.Now()
-	fields := append(a.responseFields(), zap.String("request_id", a.r.caller.ID), zap.Int("attempt", len(a.r.tried)+1),
+	fields := append(a.responseFields(), zap.String("request_id", a.r.caller.ID), zap.Int("attempt", a.try),
 		zap.String("backend_server", a.pick.backend.ID), zap.String("outcome", names[result]), zap.Strings("helpers", helpers),
 		zap.Float64("predicted_ms", a.pick.predictedMs), zap.Int64("prompt_tokens", a.r.caller.PromptTokens), zap.Float64("waited_ms", ms(a.r.waited)), zap.Int64("output_tokens", a.r.caller.OutputTokens),
 		zap.Int64("expected_output_tokens", a.r.caller.ExpectedOutputTokens),
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -169,6 +169,11 @@
 func (a *attempt) passOn(response *exchange.Response, part []byte, stall *watchdog) attemptResult {
 	a.isPassedOn.Store(true)
 	stall.stop()
+	if !a.beginSending() {
+		a.err = errSuperseded
+		return superseded
+	}
+	defer a.endSending()
 	if a.r.status != 0 {
 		a.err = errAnotherAnswer
 		return callerGone
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -149,19 +149,18 @@
 		observe.Error(err), zap.Duration("since", bootclock.Now()-since), zap.Int("attempts_moved", moved))
 }
 
-// moveSilentAttempts ends the attempts on own connections that received nothing since a
+// moveSilentAttempts moves the attempts on own connections that received nothing since a
 // time, so that they continue elsewhere while their callers still wait. Connections that
 // live on are left alone: an attempt is silent only after reach.SuspectAfter, since
 // connections may fail within less time than passes between two events, or until a response
-// begins. It returns the number of attempts ended.
+// begins. It returns the number of attempts moved.
 func (g *Gateway) moveSilentAttempts(since time.Duration) int {
 	now := bootclock.Now()
 	g.reachability.mu.Lock()
 	defer g.reachability.mu.Unlock()
 	moved := 0
 	for a, w := range g.reachability.attempts {
-		if a.isDirect.Load() && a.isSilent(since, now) && !w.fired() && a.canFailOver(now) {
-			w.fire(causeLostPath)
+		if a.isDirect.Load() && a.isSilent(since, now) && a.canFailOver(now) && a.move(w, causeLostPath) {
 			moved++
 		}
 	}
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -92,10 +92,10 @@
 		zap.String("backend_server", b.ID), zap.Int("attempts_moved", moved))
 }
 
-// failOver ends the attempts that wait for a failure domain which became
+// failOver moves the attempts that wait for a failure domain which became
 // unreachable, so that they continue elsewhere while their callers still wait.
 // It also closes the idle connections to the failure domain. It returns the
-// number of attempts ended.
+// number of attempts moved.
 func (g *Gateway) failOver(domain string) int {
 	servers, _ := g.members.backends()
 	for _, b := range servers {
@@ -108,8 +108,7 @@
 	defer g.reachability.mu.Unlock()
 	moved := 0
 	for a, w := range g.reachability.attempts {
-		if a.dependsOn(domain) && a.canFailOver(now) {
-			w.fire(causeFailureDomain)
+		if a.dependsOn(domain) && a.canFailOver(now) && a.move(w, causeFailureDomain) {
 			moved++
 		}
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -59,6 +59,8 @@
 	// deferred.
 	waited   time.Duration
 	attempts int
+	// ran is set once an attempt may have run.
+	ran bool
 	// features is what the request has in common with others that may crash backend
 	// servers.
 	features suspicion.Request
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,9 +28,8 @@
 	// waited for at least. Parts of prompts that arrive later are prefilled first, so
 	// that a long prompt may take several times the predicted time in a burst of them.
 	firstEventObjectiveShare = 0.75
-	// failoverShare is the share of the caller's waiting time after which the
-	// attempt at a silent backend server is canceled, so that another one still
-	// has time. If the limit for the first event is later than that, waiting is better:
+	// failoverShare is the share of the caller's waiting time after which another
+	// backend server is tried for a silent one, so that it still has time. If the limit for the first event is later than that, waiting is better:
 	// the work there is nearly done, and a second run would only add load.
 	failoverShare = 0.75
 	// maxEventBytes limits one event.
@@ -47,7 +46,7 @@
 // of another stream for its silent stream to be waited for.
 const aliveWindow = time.Second
 
-// watchdog cancels an attempt without progress, unless it is better to wait
+// watchdog watches an attempt for progress, and cancels it unless it is better to wait
 // longer.
 type watchdog struct {
 	timer  *time.Timer
@@ -117,7 +116,7 @@
 
 // mayRetry reports whether the request may be sent to another backend server.
 func (a *attempt) mayRetry(now time.Duration) bool {
-	return !a.isPassedOn.Load() && a.g.canRetry(a.r, a.number+1, true) && a.g.budget.allows(a.r.service.Name, a.g.members.count(), now)
+	return !a.isPassedOn.Load() && a.g.canRetry(a.r, a.number+1+int(a.succession.attempts.Load()), true) && a.g.budget.allows(a.r.service.Name, a.g.members.count(), now)
 }
 
 // lastSign returns when something was last received, or when the request was sent.
@@ -125,9 +124,8 @@
 	return max(a.pick.job.sent, time.Duration(a.receivedAt.Load()))
 }
 
-// canBeContinued reports whether the caller loses nothing if the attempt is canceled: a
-// response that has begun is lost unless another backend server can continue it. heardSince
-// is as in hasAlternative.
+// canBeContinued reports whether another backend server may serve the request, or continue the
+// response if that has begun. heardSince is as in hasAlternative.
 func (a *attempt) canBeContinued(now, heardSince time.Duration) bool {
 	return !a.isContinuation && !a.firstEventSeen.Load() || a.hasAlternative(now, heardSince)
 }
@@ -195,20 +193,26 @@
 		a.g.health.recordReceived(a.pick.job.backend, now)
 		a.recordReceived(now)
 		a.g.recordContact(a.pick.backend.FailureDomain)
+		id, hasID := eventID(event)
+		if hasID && a.r.route.Idempotent() && !isHigher(id, a.r.caller.LastEvent) {
+			return a.handleRepeated(id)
+		}
+		if !a.beginSending() {
+			a.err = errSuperseded
+			return superseded
+		}
 		if seen++; seen == 1 {
 			a.firstEvent(now)
 		} else {
 			a.pauseMs = max(a.pauseMs, ms(now-last))
 		}
 		last = now
-		if id, ok := eventID(event); ok {
-			if a.r.route.Idempotent() && !isHigher(id, a.r.caller.LastEvent) {
-				return a.handleRepeated(id)
-			}
+		if hasID {
 			a.r.caller.LastEvent = id
 		}
-		if err := a.forwardEvent(response, event); err != nil {
-			a.err = err
+		a.err = a.forwardEvent(response, event)
+		a.endSending()
+		if a.err != nil {
 			return callerGone
 		}
 	}
@@ -241,6 +245,7 @@
 	seenMs := ms(now - a.pick.job.sent)
 	a.firstMs = seenMs
 	a.firstEventSeen.Store(true)
+	a.succession.hasBegun.Store(true)
 	a.g.suspects.recordServed(a.r, now)
 	if a.pick.slowness > 0 {
 		a.g.health.recordFirstEvent(a.pick.job.backend, a.pick.predictedMs/a.pick.slowness, seenMs, now)
@@ -288,8 +293,17 @@
 		a.err = err
 		return mayHaveRun
 	}
+	if a.isSuperseded() {
+		a.err = errSuperseded
+		return superseded
+	}
 	now := bootclock.Now()
 	if err = a.checkEnd(response, err, now); err == nil {
+		if !a.beginSending() {
+			a.err = errSuperseded
+			return superseded
+		}
+		defer a.endSending()
 		a.begin(response)
 		a.g.health.record(a.pick.job.backend, outcomeServed, now)
 		a.r.outcome = "served"
