Bound the head of a response that an entry process reads

Report of other operators: a faulty server sent bytes that were no answer, without end, until the caller closed; the process that had called it kept them all and ran out of memory.

It did happen here, at bilberry-entry. Cause: the HTTP client for backend servers had no bound of its own for the head of a response, and that of net/http is 10 MiB for each request. Gateways read heads of 64 KiB at most already (internal/exchange).

Change: 64 KiB for the head with the informational responses before it, also for health checks, deletions and resumed streams, which share the client.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -40,6 +40,10 @@
 	// bufferBytes is the size of the read buffer and of the write buffer of a
 	// connection. Events are small, and each open stream holds both buffers.
 	bufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response together with the informational responses before
+	// it. With the default of net/http, 10 MiB, 96 heads without end made an entry process use
+	// 1,189 MiB.
+	maxHeadBytes = 64 << 10
 	// longBodyBytes is the size of a request body above which a backend server may end its
 	// response before it has read the body. A shorter one is read at once.
 	longBodyBytes = 16 << 10
@@ -121,6 +125,8 @@
 			ReadBufferSize:      bufferBytes,
 			WriteBufferSize:     bufferBytes,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}
 	}
 	c := &Client{pooled: newTransport(), unpooled: newTransport(), echoing: map[string]bool{}}
--- a/internal/hostile/entry_test.go
+++ b/internal/hostile/entry_test.go
@@ -87,7 +87,7 @@
 			sum := sha256.Sum256([]byte(key))
 			hashes = append(hashes, hex.EncodeToString(sum[:]))
 		}
-		return map[string]any{"name": name, "key_sha256": hashes, "weight": 1, "grants": []any{grant("assistant"), grant("bookings")}}
+		return map[string]any{"name": name, "key_sha256": hashes, "weight": 1, "grants": []any{grant("assistant"), grant("bookings"), grant("faulty")}}
 	}
 	accounts := []any{account("ordinary", ordinaryKey)}
 	for a := range entryAccounts {
@@ -109,6 +109,10 @@
 				"name": "bookings", "kind": "plain", "path_prefix": "/bookings", "cold_limit_requests": 8, "deadline_ms": 120_000,
 				"max_body_bytes": entryBodyLimit,
 			},
+			map[string]any{
+				"name": "faulty", "kind": "plain", "path_prefix": "/faulty", "cold_limit_requests": 1000, "deadline_ms": 120_000,
+				"max_body_bytes": entryBodyLimit,
+			},
 		},
 		"accounts": accounts,
 	})
@@ -165,13 +169,25 @@
 
 // check runs a crowd against an address of a new entry process.
 func (s *entrySystem) check(t *testing.T, address string, send func(i int, w io.Writer) error) {
+	t.Helper()
+	s.startEntry(t).Check(entryBound, Crowd{Address: address, Connections: entryConnections, Send: send}, s.ordinary)
+}
+
+// checkReading runs a crowd of callers that read their responses against a new entry process.
+func (s *entrySystem) checkReading(t *testing.T, send func(i int, w io.Writer) error) {
+	t.Helper()
+	s.startEntry(t).Check(entryBound, Crowd{Address: s.callers, Connections: entryConnections, Send: send, Reads: true}, s.ordinary)
+}
+
+// startEntry starts an entry process that serves ordinary requests.
+func (s *entrySystem) startEntry(t *testing.T) *Process {
 	t.Helper()
 	entry := Start(t, "bilberry-entry", map[string]any{
 		"id": "entry-1", "failure_domain": "d1", "listen": s.callers, "announce_listen": s.announce, "wire_listen": s.wire,
 		"entries": []string{s.wire}, "states": []string{s.state}, "memory_mb": entryMemoryMB,
 	})
 	entry.waitForAnswer("before the crowd", s.ordinary)
-	entry.Check(entryBound, Crowd{Address: address, Connections: entryConnections, Send: send}, s.ordinary)
+	return entry
 }
 
 // Guards against an entry process that exceeds the memory of its VM, or stops serving,
