Release the memory budget of a response once its part was passed on

Found while bytes without end were tried: a faulty backend server's response that doesn't fit the memory budget is passed on while it is read, and what was held for its first part stayed reserved until the response ended, which is the deadline for one without end. Meanwhile the bodies of sound requests were refused with 503, and sound responses could not be held.

Change: the part is released once it was sent to the caller, at gateways and entry processes. Both tests fail before: the gateway holds it until the deadline (4 s), the entry process 128 KiB for as long as the test waits (10 s).

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -189,7 +189,8 @@
 func (br *bufferedRelay) fail(*refusal.Error, string) {}
 
 func (br *bufferedRelay) relayResponse(ctx context.Context, a *attempt, resp *http.Response) outcome {
-	defer a.req.held.ShrinkTo(a.req.held.Size())
+	heldBefore := a.req.held.Size()
+	defer a.req.held.ShrinkTo(heldBefore)
 	body, err := membudget.Read(a.req.held, resp.Body, unknownLength, maxBufferedResponseBytes)
 	var large *membudget.TooLargeError
 	out := outcome{sent: true, step: wirepb.Progress_STEP_DONE}
@@ -203,7 +204,7 @@
 	case isOverBudget(err):
 		a.server.logOverBudget("response is not held", a.req.id, err)
 		if a.req.model == nil {
-			return br.passOn(ctx, a, resp, body)
+			return br.passOn(ctx, a, resp, body, heldBefore)
 		}
 		// The response of an engine is checked as a whole.
 		out.step, out.err = wirepb.Progress_STEP_CANCELLED, refusal.NewUnknown(refusal.AnswerTruncated, "no memory for the answer now")
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,6 +15,8 @@
 
 	"go.uber.org/zap"
 
+	"bilberryhub/internal/backend"
+	"bilberryhub/internal/hostile"
 	"bilberryhub/internal/membudget"
 	"bilberryhub/internal/refusal"
 	"bilberryhub/internal/wirepb"
@@ -185,3 +188,45 @@
 		})
 	}
 }
+
+// Guards against a budget that a response without end, which is passed on while it is read,
+// fills until its deadline.
+func TestRoomIsFreeWhileAResponseIsPassedOn(t *testing.T) {
+	s := newTestServer(t, 256<<10)
+	endless := hostile.StartEndlessServer(t, backend.RequestIDHeader)
+	endless.Respond(hostile.EndlessBodies(backend.RequestIDHeader, "text/plain")[0])
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		held, err := s.budget.Reserve("account", 0)
+		defer held.Release()
+		if err != nil {
+			t.Error(err)
+		}
+		a := &attempt{
+			server: s, id: "d1", log: zap.NewNop(), req: &request{held: held, deadline: time.Now().Add(time.Minute)},
+			member: &wirepb.GrantMember{Backend: "b1", Address: endless.Address, Boot: rawBoot},
+		}
+		resp, err := http.Get("http://" + endless.Address)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer context.AfterFunc(ctx, func() { _ = resp.Body.Close() })()
+		(&bufferedRelay{w: w}).relayResponse(hr.Context(), a, resp)
+	}))
+	defer server.Close()
+	resp, err := http.Get(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	// The response has begun, so that it didn't fit the budget. It doesn't end before all that is
+	// passed on was read.
+	for deadline := time.Now().Add(10 * time.Second); s.budget.Held() != 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are held while the response is passed on", s.budget.Held())
+		}
+	}
+	cancel()
+}
--- a/internal/entry/passon.go
+++ b/internal/entry/passon.go
@@ -22,14 +22,17 @@
 
 // passOn forwards the response of a plain service while it is read, after the part that was
 // read: the request has run, so that it can't be refused. If the response breaks off or isn't
-// whole, the caller's connection ends without the end of the response.
-func (br *bufferedRelay) passOn(ctx context.Context, a *attempt, resp *http.Response, part []byte) outcome {
+// whole, the caller's connection ends without the end of the response. What is held for the part,
+// all beyond heldBefore bytes, is released once it was sent: the response may last until the
+// deadline.
+func (br *bufferedRelay) passOn(ctx context.Context, a *attempt, resp *http.Response, part []byte, heldBefore int64) outcome {
 	metricPassedOn.Inc()
 	out := outcome{sent: true, responseStarted: true, step: wirepb.Progress_STEP_DONE}
 	copyResponseHeader(br.w.Header(), resp.Header)
 	br.w.WriteHeader(resp.StatusCode)
 	total := len(part)
 	err := br.writePart(a, part)
+	a.req.held.ShrinkTo(heldBefore)
 	buf := make([]byte, passOnBytes)
 	for err == nil && total <= maxBufferedResponseBytes {
 		n, readErr := resp.Body.Read(buf)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -544,7 +544,7 @@
 func (a *attempt) handleResponse(response *exchange.Response, stall *watchdog) attemptResult {
 	held, err := a.g.held.Reserve(a.r.holder(), 0)
 	if err != nil {
-		return a.handleNotHeld(response, nil, stall, err)
+		return a.handleNotHeld(response, nil, nil, stall, err)
 	}
 	defer func() {
 		if a.buffered == nil {
@@ -557,7 +557,7 @@
 		return superseded
 	}
 	if isOverBudget(err) {
-		return a.handleNotHeld(response, body, stall, err)
+		return a.handleNotHeld(response, body, held, stall, err)
 	}
 	now := bootclock.Now()
 	err = a.checkEnd(response, err, now)
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -149,9 +149,9 @@
 }
 
 // handleNotHeld handles a response that doesn't fit the memory budget, of which only part was
-// read. The request has run, so that it can't be refused. One that reports a failure is
+// read, for which held is reserved. The request has run, so that it can't be refused. One that reports a failure is
 // discarded if another backend server may serve the request.
-func (a *attempt) handleNotHeld(response *exchange.Response, part []byte, stall *watchdog, err error) attemptResult {
+func (a *attempt) handleNotHeld(response *exchange.Response, part []byte, held *membudget.Reservation, stall *watchdog, err error) attemptResult {
 	passedOnWhileRead.Inc()
 	a.g.logFull("response isn't held: it doesn't fit the memory budget", a.r, err)
 	if response.Status >= http.StatusInternalServerError {
@@ -161,12 +161,13 @@
 			return mayHaveRun
 		}
 	}
-	return a.passOn(response, part, stall)
+	return a.passOn(response, part, held, stall)
 }
 
 // passOn sends a response to the caller while it is read, after the part that was read. It
-// breaks off if the response does, so that it never looks complete then.
-func (a *attempt) passOn(response *exchange.Response, part []byte, stall *watchdog) attemptResult {
+// breaks off if the response does, so that it never looks complete then. What is held for the
+// part is released once it was sent: the response may last until the deadline.
+func (a *attempt) passOn(response *exchange.Response, part []byte, held *membudget.Reservation, stall *watchdog) attemptResult {
 	a.isPassedOn.Store(true)
 	stall.stop()
 	if !a.beginSending() {
@@ -185,6 +186,7 @@
 	if _, a.err = writer.Write(part); a.err != nil {
 		return callerGone
 	}
+	held.Release()
 	buf := make([]byte, forwardStepBytes)
 	for {
 		n, err := response.Body.Read(buf)
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -10,9 +10,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"bilberryhub/internal/config"
+	"bilberryhub/internal/hostile"
+	"bilberryhub/internal/manifest"
 	"bilberryhub/internal/membudget"
 )
 
@@ -69,6 +73,54 @@
 	_, _ = io.WriteString(w, strconv.FormatInt(n, 10))
 }
 
+// Guards against a budget that a response without end, which is passed on while it is read,
+// fills until its deadline, so that the bodies of sound requests are refused.
+func TestBudgetIsFreeWhileAResponseIsPassedOn(t *testing.T) {
+	s := newSetup(t)
+	s.g.settings.HeldMB = 1
+	faulty := hostile.StartEndlessServer(t, "X-Id")
+	faulty.Respond(hostile.EndlessBodies("X-Id", "text/plain")[0])
+	s.announce("faulty", "model", "a", faulty.Address)
+	s.add("sound", "plain", "a", count)
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+"/stream/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header = http.Header{"X-Id": {"endless"}, "X-Key": {testKey}, "X-Wait-Ms": {"4000"}}
+	s.config.set(versionWithSafeModel(t), 0)
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var hasEnded atomic.Bool
+	go func() {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		hasEnded.Store(true)
+	}()
+	// The response has begun, so that it didn't fit the budget.
+	s.checkNothingHeld()
+	if hasEnded.Load() {
+		t.Fatal("what is held for the response is kept until its end")
+	}
+	if got, body, err := s.post("/once/x", make([]byte, defaultMaxBodyBytes), false); err != nil || body != strconv.Itoa(defaultMaxBodyBytes) {
+		t.Errorf("response %+v, %q, error %v", got, body, err)
+	}
+}
+
+// versionWithSafeModel returns a configuration in which the route for streams is one for safe
+// requests, whose responses are held.
+func versionWithSafeModel(t *testing.T) *config.Version {
+	v := testVersion(t, 2)
+	for i := range v.Manifest.Routing.Routes {
+		if route := &v.Manifest.Routing.Routes[i]; route.Name == "stream" {
+			route.Repeat = manifest.RepeatSafe
+		}
+	}
+	return v
+}
+
 // Guards against a single body of the largest legal size that isn't served in calm
 // conditions, however small the budget is set, and against memory that stays reserved.
 func TestLargestBodyIsServedInCalm(t *testing.T) {
