Second attempts: at most two a second, and a panic ends only the attempt

Read again: a second attempt that finds no backend server was started again at each check for a lost path (100 to 300 ms), with two log lines each time, and blamed the silent backend server each time. Now half a second passes between two, and the silence is recorded once. After a panic the request's work stayed in the table of work.

TestPanicInSecondAttemptLeavesTheFirst: the process lives, the stream is whole, nothing is left in the table.

--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -39,8 +39,9 @@
 	mu sync.Mutex
 	// isOpen is set while successors may be started.
 	isOpen bool
-	// next is the successor that runs, or nil.
-	next *successor
+	// next is the successor that runs, or nil, and startedAt is when the last one was started.
+	next      *successor
+	startedAt time.Duration
 	// supersededBy is the successor that continues the response, or nil.
 	supersededBy *successor
 	// attempts is the number of attempts that successors have made.
@@ -55,6 +56,8 @@
 	of *attempt
 	// isTooLate is set when the earlier attempt has gone on: the successor must send nothing.
 	isTooLate bool
+	// isFirst is set for the first successor of the earlier attempt.
+	isFirst bool
 	// isAlone is set when the earlier attempt has failed.
 	isAlone atomic.Bool
 	// request is a copy of the request, which becomes the request if the successor continues it.
@@ -67,6 +70,10 @@
 	result  attemptResult
 }
 
+// successorInterval is the shortest time between the starts of two successors of an attempt: what
+// made one fail may last for a while.
+const successorInterval = aliveWindow / 2
+
 // openSuccession counts the attempt as sent and allows successors.
 func (a *attempt) openSuccession() {
 	a.succession.mu.Lock()
@@ -98,17 +105,18 @@
 		return false
 	}
 	defer s.mu.Unlock()
-	if !s.isOpen || s.next != nil || s.supersededBy != nil {
+	now := bootclock.Now()
+	if !s.isOpen || s.next != nil || s.supersededBy != nil || (s.startedAt > 0 && now-s.startedAt < successorInterval) {
 		return false
 	}
 	r := *a.r
 	r.tried = append(slices.Clone(a.r.tried), a.pick.backend.ID)
 	r.ran = true
 	ctx, cancel := context.WithCancel(a.ctx)
-	next := &successor{of: a, request: &r, cancel: cancel, done: make(chan struct{})}
-	s.next = next
+	next := &successor{of: a, isFirst: s.startedAt == 0, request: &r, cancel: cancel, done: make(chan struct{})}
+	s.next, s.startedAt = next, now
 	a.g.log.Info("second attempt beside a silent one", zap.String("request_id", r.caller.ID), zap.String("backend_server", a.pick.backend.ID),
-		zap.String("cause", string(cause)), zap.Float64("silent_ms", ms(bootclock.Now()-a.lastSign())), zap.Int("events", r.events))
+		zap.String("cause", string(cause)), zap.Float64("silent_ms", ms(now-a.lastSign())), zap.Int("events", r.events))
 	go next.run(ctx)
 	return true
 }
@@ -117,7 +125,9 @@
 func (s *successor) run(ctx context.Context) {
 	defer close(s.done)
 	defer s.cancel()
-	s.of.recordSilence(bootclock.Now())
+	if s.isFirst {
+		s.of.recordSilence(bootclock.Now())
+	}
 	base := s.request.attempts
 	err := s.attemptOnce(ctx)
 	first := &s.of.succession
@@ -158,6 +168,9 @@
 		// net/http recovers from a panic in the goroutine of a request only.
 		if p := recover(); p != nil {
 			s.result, err = mayHaveRun, errors.Errorf("panic: %v", p)
+			if s.attempt != nil {
+				g.workTable.remove(append(s.attempt.pick.helperJobs, s.attempt.pick.job)...)
+			}
 			g.log.Error("second attempt panicked", zap.String("request_id", r.caller.ID), observe.Error(err), zap.ByteString("stack", debug.Stack()))
 		}
 	}()
@@ -297,5 +310,5 @@
 		return more
 	}
 	a.startSuccessor(causeSilence)
-	return aliveWindow / 2
+	return successorInterval
 }
--- a/internal/gateway/successor_test.go
+++ b/internal/gateway/successor_test.go
@@ -271,6 +271,37 @@
 	}
 }
 
+// panickingDialect panics at a response with the header X-Panic.
+type panickingDialect struct{ testDialect }
+
+func (d panickingDialect) DecodeResponse(status int, h http.Header) ResponseInfo {
+	if h.Get("X-Panic") != "" {
+		panic("malformed response")
+	}
+	return d.testDialect.DecodeResponse(status, h)
+}
+
+// Guards against a process that ends because of a panic in a second attempt, which net/http
+// doesn't recover from.
+func TestPanicInSecondAttemptLeavesTheFirst(t *testing.T) {
+	s := newSilentSetup(t, "model", sends(1, 2), sends(3, 4), func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		w.Header().Set("X-Panic", "1")
+	}, silenceCauses["failure domain"])
+	s.g.dialect = panickingDialect{}
+	go func() {
+		s.waitAsked()
+		time.Sleep(100 * time.Millisecond)
+		close(s.goOn)
+	}()
+	if _, body, err := s.call("/stream/x", "X-Prompt", "100", "X-Wait-Ms", "5000"); err != nil || body != events(1, 4) {
+		t.Errorf("stream %q, error %v", body, err)
+	}
+	if n := len(s.g.workTable.local); n != 0 {
+		t.Errorf("%d requests are left in the table", n)
+	}
+}
+
 // Guards against a response that isn't a stream, has begun, and is lost because its backend
 // server is given up for another one that is full.
 func TestBegunResponseIsKeptUntilAnotherServerResponds(t *testing.T) {
