Publish the configuration before its proposals are answered

Cause: apply answered each proposal while it applied a batch of entries, and published the configuration for readers and subscribers only after the whole batch. An operator who reads after the acknowledgement could get the state before it.

Change: the proposals of a batch are answered after the publication.

--- a/internal/stateserver/loop.go
+++ b/internal/stateserver/loop.go
@@ -278,17 +278,18 @@
 	return nil
 }
 
-// apply applies committed entries and answers the proposals among them.
+// apply applies committed entries and answers the proposals among them, after the configuration
+// was published: who reads it after an answer must not get an older one.
 func (l *loop) apply(entries []*wirepb.LogEntry) error {
-	for _, e := range entries {
-		var result *wirepb.Result
+	results := make([]*wirepb.Result, len(entries))
+	for i, e := range entries {
 		switch e.GetKind() {
 		case wirepb.LogEntry_KIND_COMMAND:
 			cmd := &wirepb.Command{}
 			if err := proto.Unmarshal(e.GetData(), cmd); err != nil {
 				return errors.Annotatef(err, "decode command of entry %d", e.GetIndex())
 			}
-			result = l.machine.Apply(e.GetIndex(), cmd)
+			results[i] = l.machine.Apply(e.GetIndex(), cmd)
 		case wirepb.LogEntry_KIND_MEMBERSHIP:
 			m := l.node.MembershipAt(e.GetIndex())
 			l.log.Info("membership changed", zap.Uint64("index", e.GetIndex()), zap.Stringer("membership", m))
@@ -296,11 +297,14 @@
 		}
 		l.applied, l.appliedTerm = e.GetIndex(), e.GetTerm()
 		l.bytesSinceSnapshot += int64(len(e.GetData()))
-		l.answerWaiter(e, result)
 	}
-	if len(entries) > 0 {
-		l.s.metrics.applied.Set(float64(l.applied))
-		l.publish()
+	if len(entries) == 0 {
+		return nil
+	}
+	l.s.metrics.applied.Set(float64(l.applied))
+	l.publish()
+	for i, e := range entries {
+		l.answerWaiter(e, results[i])
 	}
 	return nil
 }
--- a/internal/stateserver/subscribe_test.go
+++ b/internal/stateserver/subscribe_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -79,3 +81,38 @@
 		}
 	}
 }
+
+// Guards against a read of the configuration that is older than a change whose acceptance the
+// reader has seen.
+func TestAcceptedChangeIsRead(t *testing.T) {
+	const operators, changes = 16, 60
+	c := newCluster(t, 1)
+	c.startAll()
+	name := c.replicas[0].Name
+	server := c.servers[name]
+	c.mustPropose(c.client(name), orderCommand("first", 1, true))
+	var accepted atomic.Int64
+	var running sync.WaitGroup
+	for o := range operators {
+		client := c.client(name)
+		running.Go(func() {
+			for n := uint64(1); n <= changes; n++ {
+				cmd := orderCommand(fmt.Sprintf("order-%d-%d", o, n), n, n%2 == 1)
+				cmd.GetOrder().Target = fmt.Sprintf("domain-%d", o)
+				result, code := propose(client, cmd)
+				if code != "" {
+					continue
+				}
+				accepted.Add(1)
+				if got := server.Config().GetIndex(); got < result.GetIndex() {
+					t.Errorf("a change is accepted at index %d, and the configuration that is read is of index %d", result.GetIndex(), got)
+					return
+				}
+			}
+		})
+	}
+	running.Wait()
+	if accepted.Load() == 0 {
+		t.Error("no change was accepted")
+	}
+}
