Tests of the gateway: a transport of its own for each setup

TestUndefinedStatusIsTriedElsewhere failed once in a whole run with "http: CloseIdleConnections called". The callers of these tests used http.DefaultTransport, whose idle connections httptest.Server.Close closes, also while a request of another test takes one.

--- a/internal/gateway/earlyend_test.go
+++ b/internal/gateway/earlyend_test.go
@@ -70,7 +70,7 @@
 	}
 	r.Host = "h.example"
 	r.Header = http.Header{"X-Id": {id}, "X-Key": {testKey}, "X-Wait-Ms": {"4000"}, "X-Prompt": {"100"}}
-	resp, err := http.DefaultTransport.RoundTrip(r)
+	resp, err := s.transport.RoundTrip(r)
 	if err != nil {
 		return 0, "", false
 	}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -89,7 +89,7 @@
 	for name, value := range map[string]string{"X-Id": id, "X-Key": testKey, "X-Wait-Ms": "1500"} {
 		r.Header.Set(name, value)
 	}
-	resp, err := http.DefaultTransport.RoundTrip(r)
+	resp, err := s.transport.RoundTrip(r)
 	if err != nil {
 		return false
 	}
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -57,7 +57,7 @@
 	}
 	r.Host = "h.example"
 	r.Header = http.Header{"X-Id": {fmt.Sprintf("id-%p", r)}, "X-Key": {testKey}, "X-Wait-Ms": {"4000"}}
-	resp, err := http.DefaultTransport.RoundTrip(r)
+	resp, err := s.transport.RoundTrip(r)
 	if err != nil {
 		return nil, "", err
 	}
@@ -89,7 +89,7 @@
 	r.Host = "h.example"
 	r.Header = http.Header{"X-Id": {"endless"}, "X-Key": {testKey}, "X-Wait-Ms": {"4000"}}
 	s.config.set(versionWithSafeModel(t), 0)
-	resp, err := http.DefaultTransport.RoundTrip(r)
+	resp, err := s.transport.RoundTrip(r)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/setup_test.go
+++ b/internal/gateway/setup_test.go
@@ -146,6 +146,9 @@
 	g      *Gateway
 	config *testConfig
 	front  *httptest.Server
+	// transport is that of callers. Each setup has its own: httptest.Server.Close closes the idle
+	// connections of http.DefaultTransport, which requests of other tests may be about to use.
+	transport *http.Transport
 }
 
 func newSetup(t *testing.T) *setup {
@@ -175,7 +178,9 @@
 		front.Close()
 		g.cancel()
 	})
-	return &setup{t: t, g: g, config: c, front: front}
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &setup{t: t, g: g, config: c, front: front, transport: transport}
 }
 
 // add starts a backend server with a handler and announces it.
@@ -210,7 +215,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultTransport.RoundTrip(r)
+	resp, err := s.transport.RoundTrip(r)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/gateway/successor_test.go
+++ b/internal/gateway/successor_test.go
@@ -256,7 +256,7 @@
 	for k, v := range map[string]string{"X-Id": "1", "X-Key": testKey, "X-Wait-Ms": "5000", "X-Prompt": "100"} {
 		r.Header.Set(k, v)
 	}
-	resp, err := http.DefaultTransport.RoundTrip(r)
+	resp, err := s.transport.RoundTrip(r)
 	if err != nil {
 		t.Fatal(err)
 	}
