Tests of bytes without end wait until the faulty servers are known

TestEntryReadsBytesWithoutEnd/plain/status_line failed once in a whole run: the crowd came before the faulty backend server was announced at the new entry process (log: no backend server of service faulty is in service), and the check that it got requests caught that.

--- a/internal/hostile/endless.go
+++ b/internal/hostile/endless.go
@@ -20,7 +20,7 @@
 type EndlessResponse struct {
 	Name string
 	// First is sent once, with %s in place of the id of the request, and Repeated again and
-	// again after it.
+	// again after it. If Repeated is empty, the connection is closed in its place.
 	First, Repeated string
 }
 
@@ -113,6 +113,9 @@
 	if _, err := io.WriteString(c, strings.ReplaceAll(response.First, "%s", r.Header.Get(s.idHeader))); err != nil {
 		return
 	}
+	if response.Repeated == "" {
+		return
+	}
 	block := bytes.Repeat([]byte(response.Repeated), max(1, pieceBytes/len(response.Repeated)))
 	for sent := 0; sent < endlessServerBytes; sent += len(block) {
 		if _, err := c.Write(block); err != nil {
--- a/internal/hostile/endless_test.go
+++ b/internal/hostile/endless_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,8 +22,10 @@
 	faultyWholeBody  = `{"model":"m","messages":[{"role":"user","content":"a"}]}`
 )
 
-// announceFaulty announces the server as a backend server of a service until the test ends.
-func announceFaulty(t *testing.T, to string, doc announce.Announcement) {
+// announceFaulty announces the server as a backend server of a service until the test ends. It
+// returns the number of announcements that were accepted.
+func announceFaulty(t *testing.T, to string, doc announce.Announcement) *atomic.Int64 {
+	accepted := &atomic.Int64{}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	t.Cleanup(func() {
@@ -37,11 +40,16 @@
 			doc.Load.Sequence = doc.Sequence
 			data, _ := json.Marshal(doc)
 			resp, err := client.Post("http://"+to+announce.Path, "application/json", bytes.NewReader(data))
-			if err == nil {
-				_ = resp.Body.Close()
+			if err != nil {
+				continue
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				accepted.Add(1)
 			}
 		}
 	}()
+	return accepted
 }
 
 // Guards against an entry process that exceeds the memory of its VM, or stops serving, because a
@@ -54,8 +62,7 @@
 	plain, model := common, common
 	plain.ID, plain.Service, plain.Kind = "faulty-plain", "faulty", announce.KindPlain
 	model.ID, model.Service, model.Kind, model.Models, model.MemoryTokens = "faulty-model", "assistant", announce.KindModel, []string{"m"}, 10_000_000
-	announceFaulty(t, s.announce, plain)
-	announceFaulty(t, s.announce, model)
+	announced := []*atomic.Int64{announceFaulty(t, s.announce, plain), announceFaulty(t, s.announce, model)}
 	post := func(path, body string) func(i int, w io.Writer) error {
 		return func(i int, w io.Writer) error {
 			_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", Head(path, "Host", "h.example", "Authorization", "Bearer "+crowdKey(i),
@@ -83,7 +90,10 @@
 	for _, a := range attacks {
 		t.Run(a.name, func(t *testing.T) {
 			faulty.Respond(a.response)
-			s.checkReading(t, a.send)
+			for _, accepted := range announced {
+				accepted.Store(0)
+			}
+			s.checkReading(t, a.send, announced)
 			if n := faulty.Connections.Load(); n == 0 {
 				t.Error("the faulty backend server got no request")
 			} else {
--- a/internal/hostile/entry_test.go
+++ b/internal/hostile/entry_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -173,10 +174,20 @@
 	s.startEntry(t).Check(entryBound, Crowd{Address: address, Connections: entryConnections, Send: send}, s.ordinary)
 }
 
-// checkReading runs a crowd of callers that read their responses against a new entry process.
-func (s *entrySystem) checkReading(t *testing.T, send func(i int, w io.Writer) error) {
+// checkReading runs a crowd of callers that read their responses against a new entry process, once
+// it has accepted the announcements that are counted.
+func (s *entrySystem) checkReading(t *testing.T, send func(i int, w io.Writer) error, accepted []*atomic.Int64) {
 	t.Helper()
-	s.startEntry(t).Check(entryBound, Crowd{Address: s.callers, Connections: entryConnections, Send: send, Reads: true}, s.ordinary)
+	entry := s.startEntry(t)
+	entry.waitForAnswer("before the crowd", func() error {
+		for _, n := range accepted {
+			if n.Load() == 0 {
+				return errors.New("a backend server isn't announced")
+			}
+		}
+		return nil
+	})
+	entry.Check(entryBound, Crowd{Address: s.callers, Connections: entryConnections, Send: send, Reads: true}, s.ordinary)
 }
 
 // startEntry starts an entry process that serves ordinary requests.
