--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -149,8 +149,8 @@
 }
 
 // handleNotHeld handles a response that doesn't fit the memory budget, of which only part was
-// read, for which held is reserved. The request has run, so that it can't be refused. One that reports a failure is
-// discarded if another backend server may serve the request.
+// read, for which held is reserved. The request has run, so that it can't be refused. A response
+// that reports a failure is discarded if another backend server may serve the request.
 func (a *attempt) handleNotHeld(response *exchange.Response, part []byte, held *membudget.Reservation, stall *watchdog, err error) attemptResult {
 	passedOnWhileRead.Inc()
 	a.g.logFull("response isn't held: it doesn't fit the memory budget", a.r, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,8 +29,9 @@
 	// that a long prompt may take several times the predicted time in a burst of them.
 	firstEventObjectiveShare = 0.75
 	// failoverShare is the share of the caller's waiting time after which another
-	// backend server is tried for a silent one, so that it still has time. If the limit for the first event is later than that, waiting is better:
-	// the work there is nearly done, and a second run would only add load.
+	// backend server is tried for a silent one, so that it still has time. If the
+	// limit for the first event is later than that, waiting is better: the work there
+	// is nearly done, and a second run would only add load.
 	failoverShare = 0.75
 	// maxEventBytes limits one event.
 	maxEventBytes = 1 << 20
