--- /dev/null
+++ b/review/rig3/replica.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// replica is a sound replica of a plain service.
+type replica struct {
+	s       *system
+	id      string
+	service string
+	zone    string
+	address string
+	born    int64
+	server  *http.Server
+	// silent ends its heartbeats.
+	silent   chan struct{}
+	stopOnce sync.Once
+
+	mu    sync.Mutex
+	state string
+	// runs counts the runs by id of the client attempt.
+	runs map[string]int
+	// work is how long a request takes.
+	work time.Duration
+	// home is the control process that acknowledged the last heartbeat.
+	home int
+}
+
+// heartbeatTime is the time between two heartbeats of a replica.
+const heartbeatTime = 1200 * time.Millisecond
+
+// startReplica starts a replica that announces itself every heartbeatTime.
+func (s *system) startReplica(id, service string, host int, zone string, work time.Duration) (*replica, error) {
+	l, err := net.Listen("tcp", address(s.ip(host), 8120))
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{
+		s: s, id: id, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(),
+		silent: make(chan struct{}), state: "ready", runs: map[string]int{}, work: work, home: host % 3,
+	}
+	r.server = &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(l) }()
+	go r.announceLoop()
+	s.mu.Lock()
+	s.replicas = append(s.replicas, r)
+	s.mu.Unlock()
+	return r, nil
+}
+
+// stop ends the replica.
+func (r *replica) stop() {
+	r.stopOnce.Do(func() {
+		close(r.silent)
+		_ = r.server.Close()
+	})
+}
+
+// ServeHTTP runs a request.
+func (r *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	id := req.Header.Get("X-Bilberryhub-Attempt-Id")
+	h := w.Header()
+	h.Set("X-Bilberryhub-Attempt-Id", id)
+	if want := req.Header.Get("X-Bilberryhub-Expect-Replica"); want != "" && want != r.id {
+		h.Set("X-Bilberryhub-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.mu.Lock()
+	r.runs[id]++
+	state, work := r.state, r.work
+	r.mu.Unlock()
+	r.s.logf("replica %s (%s) runs %s %s, body of %d bytes", r.id, state, req.URL.Path, id, len(body))
+	time.Sleep(work)
+	h.Set("X-Bilberryhub-Replica-Seal", "seal-"+id)
+	answer := "answer to " + id
+	h.Set("Content-Length", fmt.Sprint(len(answer)))
+	_, _ = io.WriteString(w, answer)
+}
+
+// runsOf returns how often a client attempt has run here.
+func (r *replica) runsOf(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// announceLoop sends heartbeats.
+func (r *replica) announceLoop() {
+	for {
+		r.announce()
+		select {
+		case <-r.silent:
+			return
+		case <-time.After(heartbeatTime):
+		}
+	}
+}
+
+// announce sends one heartbeat, to the next control process if one doesn't acknowledge it.
+// It reports whether it was acknowledged.
+func (r *replica) announce() bool {
+	r.mu.Lock()
+	state, home := r.state, r.home
+	r.mu.Unlock()
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":6,"state":%q,"cold-remaining-ms":0,"stage":"unified","models":[],"sequence":%d,"born":%d}`,
+		r.service, r.address, r.zone, state, r.s.sequence.Add(1), r.born)
+	for try := range 3 {
+		i := (home + try) % 3
+		to := address(r.s.controlIP(i), controlPort)
+		res := r.s.call(time.Second, http.MethodPut, "http://"+to+"/bilberryhub/replicas/"+r.id, body, "Content-Type", "application/json")
+		if res.err == nil && res.status/100 == 2 {
+			r.mu.Lock()
+			r.home = i
+			r.mu.Unlock()
+			return true
+		}
+	}
+	return false
+}
+
+// setState changes what the heartbeats say.
+func (r *replica) setState(state string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = state
+}
+
+// setWork changes how long a request takes.
+func (r *replica) setWork(work time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.work = work
+}
