--- a/review/rig3/heads.go
+++ b/review/rig3/heads.go
@@ -19,13 +19,13 @@
 	edgeMemoryMB = 284
 	// headConnections is the number of connections that send heads, and headBytes the size of
 	// the begin of a head that each of them sends. It is within max-header-bytes.
-	headConnections = 1300
+	headConnections = 2000
 	headBytes       = 16_000
 	// headTime is how long the clients take for their heads. It is within header-timeout-ms.
 	headTime = 2800 * time.Millisecond
 	// keptClients is the number of ordinary clients with a kept channel, and keptWork the time
 	// that their requests take at the replica.
-	keptClients = 8
+	keptClients = 16
 	keptWork    = 100 * time.Millisecond
 	// lostAllowed is the number of requests that may be lost.
 	lostAllowed = 3
@@ -48,7 +48,7 @@
 // keptClient sends requests one after the other on a channel that it keeps, until the channel
 // ends or done is closed. A request is lost if the channel ends without an answer after the
 // replica has got it.
-func (s *system) keptClient(g *process, r *replica, results *keptResults, done <-chan struct{}) {
+func (s *system) keptClient(g *process, results *keptResults, done <-chan struct{}) {
 	c, err := net.Dial("tcp", address(g.ip, frontPort))
 	if err != nil {
 		return
@@ -73,7 +73,7 @@
 			continue
 		}
 		time.Sleep(50 * time.Millisecond)
-		if r.runsOf(id) == 0 {
+		if s.runsOf(id) == 0 {
 			results.notRun.Add(1)
 			s.logf("client: %s %s on a kept channel: %v, it has not run", setPath, id, err)
 			return
@@ -87,15 +87,18 @@
 // runHeads lets clients send long heads, beside ordinary clients. The platform kills a process
 // that uses more memory than its machine has.
 func (s *system) runHeads(hasTrouble bool) error {
-	g, r, err := s.startSmall()
+	g, first, err := s.startSmall()
 	if err != nil {
 		return err
 	}
-	r.setWork(keptWork)
+	if err := s.addReplicas(first); err != nil {
+		return err
+	}
+	s.setWork(keptWork)
 	results, done := &keptResults{}, make(chan struct{})
 	var wg sync.WaitGroup
 	for range keptClients {
-		wg.Go(func() { s.keptClient(g, r, results, done) })
+		wg.Go(func() { s.keptClient(g, results, done) })
 	}
 	time.Sleep(time.Second)
 	if hasTrouble {
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -18,6 +18,8 @@
 	address string
 	born    int64
 	server  *http.Server
+	// slots holds a value for each request that runs.
+	slots chan struct{}
 	// silent ends its heartbeats.
 	silent   chan struct{}
 	stopOnce sync.Once
@@ -32,6 +34,9 @@
 	home int
 }
 
+// replicaSlots is the number of requests that a replica runs at the same time.
+const replicaSlots = 6
+
 // heartbeatTime is the time between two heartbeats of a replica.
 const heartbeatTime = 1200 * time.Millisecond
 
@@ -43,7 +48,7 @@
 	}
 	r := &replica{
 		s: s, id: id, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(),
-		silent: make(chan struct{}), state: "ready", runs: map[string]int{}, work: work, home: host % 3,
+		slots: make(chan struct{}, replicaSlots), silent: make(chan struct{}), state: "ready", runs: map[string]int{}, work: work, home: host % 3,
 	}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(l) }()
@@ -76,6 +81,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.slots <- struct{}{}
+	defer func() { <-r.slots }()
 	r.mu.Lock()
 	r.runs[id]++
 	state, work := r.state, r.work
@@ -88,11 +95,27 @@
 	_, _ = io.WriteString(w, answer)
 }
 
-// runsOf returns how often a client attempt has run here.
-func (r *replica) runsOf(id string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.runs[id]
+// runsOf returns how often a client attempt has run at the replicas.
+func (s *system) runsOf(id string) (runs int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.replicas {
+		r.mu.Lock()
+		runs += r.runs[id]
+		r.mu.Unlock()
+	}
+	return runs
+}
+
+// addReplicas starts two more replicas of the service of the first one, in the other failure
+// domains.
+func (s *system) addReplicas(first *replica) error {
+	for i, id := range []string{"i-5d02c3b1f0", "i-91c4e77a20"} {
+		if _, err := s.startReplica(id, first.service, 102+i, domains[1+i], first.work); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // announceLoop sends heartbeats.
@@ -113,8 +136,8 @@
 	r.mu.Lock()
 	state, home := r.state, r.home
 	r.mu.Unlock()
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":6,"state":%q,"cold-remaining-ms":0,"stage":"unified","models":[],"sequence":%d,"born":%d}`,
-		r.service, r.address, r.zone, state, r.s.sequence.Add(1), r.born)
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-remaining-ms":0,"stage":"unified","models":[],"sequence":%d,"born":%d}`,
+		r.service, r.address, r.zone, replicaSlots, state, r.s.sequence.Add(1), r.born)
 	for try := range 3 {
 		i := (home + try) % 3
 		to := address(r.s.controlIP(i), controlPort)
@@ -136,9 +159,13 @@
 	r.state = state
 }
 
-// setWork changes how long a request takes.
-func (r *replica) setWork(work time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.work = work
+// setWork changes how long requests take.
+func (s *system) setWork(work time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.replicas {
+		r.mu.Lock()
+		r.work = work
+		r.mu.Unlock()
+	}
 }
--- a/review/rig3/unreadable.go
+++ b/review/rig3/unreadable.go
@@ -56,10 +56,8 @@
 	if err != nil {
 		return err
 	}
-	for i, id := range []string{"i-5d02c3b1f0", "i-91c4e77a20"} {
-		if _, err := s.startReplica(id, first.service, 102+i, domains[1+i], first.work); err != nil {
-			return err
-		}
+	if err := s.addReplicas(first); err != nil {
+		return err
 	}
 	other := s.gateway(1, edgeMemoryMB)
 	if err := s.start(other); err != nil {
