--- a/review/rig3/replaced.go
+++ b/review/rig3/replaced.go
@@ -34,8 +34,9 @@
 type core struct {
 	s *system
 	// live are the machines that run, in the order of their start.
-	live  []*process
-	hosts int
+	live   []*process
+	hosts  int
+	losses int
 }
 
 // coreStatus is what a control process says of the replica set.
@@ -50,11 +51,11 @@
 
 // add starts a core machine with an empty disk at a new address.
 func (c *core) add(seeds []string, isFirst bool) error {
-	ip := c.s.ip(1 + c.hosts)
+	ip := c.s.controlIP(c.hosts)
 	p := &process{name: fmt.Sprintf("core-%d", c.hosts), ip: ip, program: "bilberry-control", settings: map[string]any{
 		"ip": ip, "failure_domain": domains[c.hosts%3], "failure_domains": domains, "peer_port": peerPort,
 		"admin_listen": address(ip, adminPort), "operator_listen": address(ip, controlPort),
-		"data_dir": filepath.Join(c.s.dir, ip), "seeds": seeds, "memory_mb": 280, "disk_mb": 128, "tolerated_losses": coreLosses,
+		"data_dir": filepath.Join(c.s.dir, ip), "seeds": seeds, "memory_mb": 280, "disk_mb": 128, "tolerated_losses": c.losses,
 	}}
 	if isFirst {
 		p.settings["bootstrap"] = true
@@ -122,7 +123,7 @@
 // replace replaces machines, no more at once than may be lost, and waits until their
 // successors have had their time.
 func (c *core) replace() error {
-	victims := c.victims(coreLosses)
+	victims := c.victims(c.losses)
 	for _, p := range victims {
 		c.remove(p)
 	}
@@ -154,13 +155,9 @@
 
 // runReplaced replaces core machines again and again, and reads the desired state at the end.
 func (s *system) runReplaced(hasTrouble bool) error {
-	c := &core{s: s}
-	var seeds []string
-	for i := range 3 {
-		seeds = append(seeds, address(s.ip(1+i), controlPort))
-	}
+	c := &core{s: s, losses: coreLosses}
 	for range coreMachines {
-		if err := c.add(seeds, true); err != nil {
+		if err := c.add(s.seeds(), true); err != nil {
 			return err
 		}
 	}
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -100,13 +100,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.replicas {
-		r.mu.Lock()
-		runs += r.runs[id]
-		r.mu.Unlock()
+		runs += r.runsOf(id)
 	}
 	return runs
 }
 
+// runsOf returns how often a client attempt has run at this replica.
+func (r *replica) runsOf(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
 // addReplicas starts two more replicas of the service of the first one, in the other failure
 // domains.
 func (s *system) addReplicas(first *replica) error {
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -86,7 +86,7 @@
 func (s *system) choosePrefix() error {
 	for range 100 {
 		prefix := fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250))
-		l, err := net.Listen("tcp", fmt.Sprintf("%s1:%d", prefix, peerPort))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s150:%d", prefix, peerPort))
 		if err != nil {
 			continue
 		}
@@ -125,7 +125,7 @@
 func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
 // controlIP and gatewayIP return the addresses of the VMs.
-func (s *system) controlIP(i int) string { return s.ip(1 + i) }
+func (s *system) controlIP(i int) string { return s.ip(150 + i) }
 func (s *system) gatewayIP(i int) string { return s.ip(11 + i) }
 
 // seeds returns the operator addresses of the control processes.
