--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -9,10 +9,12 @@
 
 // Names of the desired state of all cases.
 const (
-	clientHost = "wuny96.example"
-	setPath    = "/pufi791/set"
-	readPath   = "/cuti104/read"
-	clientKey  = "n2ctnfzs989anu6wsjnb"
+	// edgeMemoryMB is the memory of an edge machine.
+	edgeMemoryMB = 284
+	clientHost   = "wuny96.example"
+	setPath      = "/pufi791/set"
+	readPath     = "/cuti104/read"
+	clientKey    = "n2ctnfzs989anu6wsjnb"
 )
 
 // desiredState returns a desired state with a route of each kind.
@@ -28,13 +30,18 @@
 // request sends an ordinary request to a gateway and returns the id of its attempt and the
 // result.
 func (s *system) request(p *process, path string) (string, result) {
+	return s.requestWithKey(p, path, clientKey)
+}
+
+// requestWithKey is request with another key.
+func (s *system) requestWithKey(p *process, path, key string) (string, result) {
 	id := s.newAttempt()
 	method := http.MethodGet
 	if path == setPath {
 		method = http.MethodPost
 	}
 	r := s.call(1100*time.Millisecond, method, "http://"+address(p.ip, frontPort)+path, "", "Host", clientHost,
-		"X-Bilberryhub-Attempt-Id", id, "X-Api-Key", clientKey, "X-Bilberryhub-Deadline-Remaining", "1000")
+		"X-Bilberryhub-Attempt-Id", id, "X-Api-Key", key, "X-Bilberryhub-Deadline-Remaining", "1000")
 	s.logf("client: %s %s at %s: %v", path, id, p.name, r)
 	return id, r
 }
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -163,14 +163,3 @@
 	defer r.mu.Unlock()
 	r.state = state
 }
-
-// setWork changes how long requests take.
-func (s *system) setWork(work time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range s.replicas {
-		r.mu.Lock()
-		r.work = work
-		r.mu.Unlock()
-	}
-}
--- a/review/rig3/start.go
+++ b/review/rig3/start.go
@@ -19,7 +19,6 @@
 		return nil, nil, err
 	}
 	g := s.gateway(0, edgeMemoryMB)
-	g.limitDescriptors(s.programs)
 	if err := s.start(g); err != nil {
 		return nil, nil, err
 	}
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -56,10 +56,8 @@
 	ip       string
 	program  string
 	settings map[string]any
-	// wrap, if set, returns the command for the arguments of the program.
-	wrap   func(args []string) *exec.Cmd
-	cmd    *exec.Cmd
-	exited chan struct{}
+	cmd      *exec.Cmd
+	exited   chan struct{}
 }
 
 // newSystem returns a system without processes.
@@ -190,12 +188,7 @@
 		return err
 	}
 	defer log.Close()
-	args := []string{"-config", file}
-	if p.wrap != nil {
-		p.cmd = p.wrap(args)
-	} else {
-		p.cmd = exec.Command(filepath.Join(s.programs, p.program), args...)
-	}
+	p.cmd = exec.Command(filepath.Join(s.programs, p.program), "-config", file)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		return err
@@ -225,16 +218,6 @@
 	<-p.exited
 }
 
-// hasExited reports whether the process has ended.
-func (p *process) hasExited() bool {
-	select {
-	case <-p.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 // running returns the processes, in the order of their first start.
 func (s *system) running() []*process {
 	s.mu.Lock()
@@ -242,21 +225,6 @@
 	return slices.Clone(s.procs)
 }
 
-// memoryBytes returns the anonymous resident memory of the process.
-func (p *process) memoryBytes() int64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		var kb int64
-		if n, _ := fmt.Sscanf(line, "RssAnon: %d kB", &kb); n == 1 {
-			return kb << 10
-		}
-	}
-	return 0
-}
-
 // logLines copies the last lines of a process's log that contain a text into the record.
 func (s *system) logLines(p *process, text string, most int) {
 	data, err := os.ReadFile(filepath.Join(s.dir, p.name+".log"))
--- a/review/rig3/unreadable.go
+++ b/review/rig3/unreadable.go
@@ -20,8 +20,6 @@
 	drainTime = 2500 * time.Millisecond
 	// graceTime is the bound grace-s.
 	graceTime = 8 * time.Second
-	// judgedTime is the time in which requests are counted.
-	judgedTime = 8 * time.Second
 )
 
 // announceUnreadable sends the heartbeats of another writer until the end of the case, as a
