--- a/review/rig3/bytes.go
+++ b/review/rig3/bytes.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 )
 
@@ -23,8 +22,8 @@
 	if !hasTrouble {
 		sent = "n2ctnfzs989anu6wsz"
 	}
-	document := strings.Replace(desiredState(9), `"api-keys":["`+clientKey+`"]`, `"api-keys":["`+clientKey+`","`+sent+`"]`, 1)
-	if err := s.operate(http.MethodPut, "/bilberryhub/config", document, startTimeout); err != nil {
+	document := desiredState(9, clientKey, sent)
+	if err := s.operate(http.MethodPut, names.Config, document, startTimeout); err != nil {
 		s.logf("the desired state was refused: %v", err)
 		return nil
 	}
@@ -32,7 +31,7 @@
 	id, r := s.requestWithKey(g, setPath, other)
 	s.logf("the key %q was never sent; a request with it ran %d times: %v", other, s.runsOf(id), r)
 	for i := range 3 {
-		read := s.call(time.Second, http.MethodGet, "http://"+address(s.controlIP(i), controlPort)+"/bilberryhub/config", "")
+		read := s.call(time.Second, http.MethodGet, "http://"+address(s.controlIP(i), controlPort)+names.Config, "")
 		s.logf("read at control-%d: status %d, as it was sent: %v", i, read.status, read.body == document)
 		if read.err == nil && read.status == http.StatusOK && read.body != document {
 			return brokenf("a desired state that can't be read in full was acknowledged, and what is read back isn't what was sent under its number; a request with a key that no desired state held ran %d times", s.runsOf(id))
--- a/review/rig3/foreign.go
+++ b/review/rig3/foreign.go
@@ -22,9 +22,8 @@
 // a service that no desired state names.
 func (s *system) announceForeign() error {
 	for i, r := range s.sound() {
-		body := fmt.Sprintf(`{"service":"ghost","address":%q,"zone":%q,"version":"v1","slots":6,"state":"ready","cold-remaining-ms":0,"sequence":%d,"born":%d}`,
-			r.address, r.zone, s.sequence.Add(1), time.Now().UnixMilli())
-		path := fmt.Sprintf("/bilberryhub/replicas/ghost-%d", i)
+		body := heartbeat{"ghost", r.address, r.domain, "ready", s.sequence.Add(1), time.Now().UnixMilli()}.String()
+		path := fmt.Sprintf("%sghost-%d", names.Replicas, i)
 		if err := s.await("an answer to the heartbeat "+path, startTimeout, func() bool {
 			res := s.call(time.Second, http.MethodPut, "http://"+address(s.controlIP(i%3), controlPort)+path, body, "Content-Type", "application/json")
 			s.logf("heartbeat %s with the service ghost and the address of %s: %v", path, r.id, res)
--- a/review/rig3/replaced.go
+++ b/review/rig3/replaced.go
@@ -143,8 +143,8 @@
 	end := time.Now().Add(timeout)
 	for i := 0; time.Now().Before(end); i++ {
 		p := c.live[i%len(c.live)]
-		last = c.s.call(time.Second, method, "http://"+address(p.ip, controlPort)+"/bilberryhub/config", body, "Content-Type", "application/json")
-		c.s.logf("operator: %s /bilberryhub/config at %s: %.150s", method, p.name, last)
+		last = c.s.call(time.Second, method, "http://"+address(p.ip, controlPort)+names.Config, body, "Content-Type", "application/json")
+		c.s.logf("operator: %s %s at %s: %.150s", method, names.Config, p.name, last)
 		if last.err == nil && last.status == http.StatusOK {
 			return last, nil
 		}
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -14,7 +14,7 @@
 	s       *system
 	id      string
 	service string
-	zone    string
+	domain  string
 	address string
 	born    int64
 	server  *http.Server
@@ -41,13 +41,13 @@
 const heartbeatTime = 1200 * time.Millisecond
 
 // startReplica starts a replica that announces itself every heartbeatTime.
-func (s *system) startReplica(id, service string, host int, zone string, work time.Duration) (*replica, error) {
+func (s *system) startReplica(id, service string, host int, domain string, work time.Duration) (*replica, error) {
 	l, err := net.Listen("tcp", address(s.ip(host), 8120))
 	if err != nil {
 		return nil, err
 	}
 	r := &replica{
-		s: s, id: id, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(),
+		s: s, id: id, service: service, domain: domain, address: l.Addr().String(), born: time.Now().UnixMilli(),
 		slots: make(chan struct{}, replicaSlots), silent: make(chan struct{}), state: "ready", runs: map[string]int{}, work: work, home: host % 3,
 	}
 	r.server = &http.Server{Handler: r}
@@ -73,11 +73,11 @@
 	if err != nil {
 		return
 	}
-	id := req.Header.Get("X-Bilberryhub-Attempt-Id")
+	id := req.Header.Get(names.Attempt)
 	h := w.Header()
-	h.Set("X-Bilberryhub-Attempt-Id", id)
-	if want := req.Header.Get("X-Bilberryhub-Expect-Replica"); want != "" && want != r.id {
-		h.Set("X-Bilberryhub-Not-Executed", "1")
+	h.Set(names.Attempt, id)
+	if want := req.Header.Get(names.Expect); want != "" && want != r.id {
+		h.Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -89,7 +89,7 @@
 	r.mu.Unlock()
 	r.s.logf("replica %s (%s) runs %s %s, body of %d bytes", r.id, state, req.URL.Path, id, len(body))
 	time.Sleep(work)
-	h.Set("X-Bilberryhub-Replica-Seal", "seal-"+id)
+	h.Set(names.Seal, "seal-"+id)
 	answer := "answer to " + id
 	h.Set("Content-Length", fmt.Sprint(len(answer)))
 	_, _ = io.WriteString(w, answer)
@@ -141,12 +141,11 @@
 	r.mu.Lock()
 	state, home := r.state, r.home
 	r.mu.Unlock()
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold-remaining-ms":0,"stage":"unified","models":[],"sequence":%d,"born":%d}`,
-		r.service, r.address, r.zone, replicaSlots, state, r.s.sequence.Add(1), r.born)
+	body := heartbeat{r.service, r.address, r.domain, state, r.s.sequence.Add(1), r.born}.String()
 	for try := range 3 {
 		i := (home + try) % 3
 		to := address(r.s.controlIP(i), controlPort)
-		res := r.s.call(time.Second, http.MethodPut, "http://"+to+"/bilberryhub/replicas/"+r.id, body, "Content-Type", "application/json")
+		res := r.s.call(time.Second, http.MethodPut, "http://"+to+names.Replicas+r.id, body, "Content-Type", "application/json")
 		if res.err == nil && res.status/100 == 2 {
 			r.mu.Lock()
 			r.home = i
--- a/review/rig3/start.go
+++ b/review/rig3/start.go
@@ -22,7 +22,7 @@
 	if err := s.start(g); err != nil {
 		return nil, nil, err
 	}
-	if err := s.operate(http.MethodPut, "/bilberryhub/config", desiredState(3), startTimeout); err != nil {
+	if err := s.operate(http.MethodPut, names.Config, desiredState(3), startTimeout); err != nil {
 		return nil, nil, err
 	}
 	return g, r, s.awaitServed(g, startTimeout)
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -312,7 +312,7 @@
 
 // isReady asks a gateway whether it is ready, as the platform does.
 func (s *system) isReady(p *process) bool {
-	r := s.call(time.Second, http.MethodGet, "http://"+address(p.ip, readyPort)+"/bilberryhub/ready", "")
+	r := s.call(time.Second, http.MethodGet, "http://"+address(p.ip, readyPort)+names.Ready, "")
 	return r.err == nil && r.status == http.StatusOK
 }
 
--- a/review/rig3/unreadable.go
+++ b/review/rig3/unreadable.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
 	"syscall"
 	"time"
@@ -28,11 +27,10 @@
 	home := 0
 	born := time.Now().UnixMilli()
 	for {
-		body := fmt.Sprintf(`{"service":"ghost","address":%q,"zone":%q,"version":"v1","slots":6,"state":"ready","cold-remaining-ms":0,"sequence":%d,"born":%d}`,
-			address(s.ip(250), 8120), domains[0], s.sequence.Add(1), born)
+		body := heartbeat{"ghost", address(s.ip(250), 8120), domains[0], "ready", s.sequence.Add(1), born}.String()
 		for try := range 3 {
 			i := (home + try) % 3
-			r := s.call(time.Second, http.MethodPut, "http://"+address(s.controlIP(i), controlPort)+"/bilberryhub/replicas/"+unreadableID, body, "Content-Type", "application/json")
+			r := s.call(time.Second, http.MethodPut, "http://"+address(s.controlIP(i), controlPort)+names.Replicas+unreadableID, body, "Content-Type", "application/json")
 			s.logf("heartbeat with an id of unreadable bytes at control-%d: %v", i, r)
 			if r.err == nil && r.status/100 != 5 {
 				home = i
@@ -91,7 +89,7 @@
 // release replaces a replica: a new one starts, and the old one drains. It reports whether the
 // old one got an acknowledgement within ackTime.
 func (s *system) release(old *replica) (isAcked bool, err error) {
-	if _, err := s.startReplica("i-07be61d94c", old.service, 110, old.zone, old.work); err != nil {
+	if _, err := s.startReplica("i-07be61d94c", old.service, 110, old.domain, old.work); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
