--- a/review/rig3/seeds.go
+++ b/review/rig3/seeds.go
@@ -5,25 +5,24 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"syscall"
 	"time"
 )
 
 func init() { cases["seeds"] = (*system).runSeeds }
 
 const (
-	// freezeTime is how long two seeds stand still, and wipeDelay the time until the third one
-	// loses its disk. It stays dark until darkTime after the begin.
-	freezeTime = 6 * time.Second
-	wipeDelay  = 4 * time.Second
-	darkTime   = 10 * time.Second
+	// outTime is how long two seeds are without power, and wipeDelay the time until the third one
+	// loses power and its disk. It is back lostTime later.
+	outTime   = 6 * time.Second
+	wipeDelay = 4500 * time.Millisecond
+	lostTime  = 7 * time.Second
 	// settleTime is the time from the return of all machines to the count before the final fault.
 	settleTime = 12 * time.Second
 	// grownRecoveryTime is the bound recovery-s of the site.
 	grownRecoveryTime = 15 * time.Second
 )
 
-// runSeeds lets two seeds stand still while the third one loses its disk, and plays a final fault
+// runSeeds lets two seeds lose power, and the third one its disk meanwhile, and plays a final fault
 // long after.
 func (s *system) runSeeds(hasTrouble bool) error {
 	c := &core{s: s, losses: coreLosses}
@@ -75,13 +74,13 @@
 	return nil
 }
 
-// strandSeeds freezes two seeds, and takes the power and the disk of the third one meanwhile.
+// strandSeeds takes the power from two seeds, and power and disk from the third one meanwhile.
 func (c *core) strandSeeds() error {
 	began := time.Now()
-	frozen, wiped := c.live[:2], c.live[2]
-	for _, p := range frozen {
-		c.s.logf("%s stands still", p.name)
-		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	out, wiped := c.live[:2], c.live[2]
+	for _, p := range out {
+		c.s.logf("%s loses power", p.name)
+		p.kill()
 	}
 	time.Sleep(wipeDelay)
 	c.s.logf("%s loses power and its disk", wiped.name)
@@ -93,11 +92,12 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	time.Sleep(time.Until(began.Add(freezeTime)))
-	for _, p := range frozen {
-		c.s.logf("%s goes on", p.name)
-		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	time.Sleep(time.Until(began.Add(outTime)))
+	for _, p := range out {
+		if err := c.s.start(p); err != nil {
+			return err
+		}
 	}
-	time.Sleep(time.Until(began.Add(darkTime)))
+	time.Sleep(time.Until(began.Add(wipeDelay + lostTime)))
 	return c.s.start(wiped)
 }
